--- /dev/null
+++ b/src/job/key.rs
@@ -0,0 +1,149 @@
+//! Idempotency keys. The first part of a key names the one process that may start its job.
+
+use std::fmt;
+use std::str::FromStr;
+
+use base64::Engine as _;
+use base64::engine::general_purpose::URL_SAFE_NO_PAD;
+use serde_with::{DeserializeFromStr, SerializeDisplay};
+
+/// The longest key that is accepted, in bytes.
+const KEY_MAX_BYTES: usize = 256;
+
+/// The random 128-bit name of one run of a process. It never returns.
+///
+/// Its text is 22 characters of URL-safe base64.
+#[derive(
+    Clone, Copy, DeserializeFromStr, Eq, Hash, Ord, PartialEq, PartialOrd, SerializeDisplay,
+)]
+pub struct Incarnation(pub u128);
+
+impl Incarnation {
+    /// Draws a new name from the system's source of randomness.
+    pub fn draw() -> Self {
+        let mut bytes = [0; 16];
+        getrandom::fill(&mut bytes).expect("the system's random source must be readable");
+        Self(u128::from_be_bytes(bytes))
+    }
+}
+
+impl fmt::Display for Incarnation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&URL_SAFE_NO_PAD.encode(self.0.to_be_bytes()))
+    }
+}
+
+impl fmt::Debug for Incarnation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, f)
+    }
+}
+
+impl FromStr for Incarnation {
+    type Err = KeyError;
+
+    fn from_str(text: &str) -> Result<Self, KeyError> {
+        let bytes = URL_SAFE_NO_PAD.decode(text).map_err(|_| KeyError::Incarnation)?;
+        let bytes = <[u8; 16]>::try_from(bytes).map_err(|_| KeyError::Incarnation)?;
+        Ok(Self(u128::from_be_bytes(bytes)))
+    }
+}
+
+/// The part of a key that a process hands out: its incarnation and its current window.
+#[derive(
+    Clone, Copy, Debug, DeserializeFromStr, Eq, Hash, Ord, PartialEq, PartialOrd, SerializeDisplay,
+)]
+pub struct Prefix {
+    /// The process that may start the jobs of keys with this prefix.
+    pub incarnation: Incarnation,
+    /// The coarse step of that process's own time in which the prefix was handed out.
+    pub window: u64,
+}
+
+impl fmt::Display for Prefix {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.incarnation, self.window)
+    }
+}
+
+impl FromStr for Prefix {
+    type Err = KeyError;
+
+    fn from_str(text: &str) -> Result<Self, KeyError> {
+        let (incarnation, window) = text.split_once('.').ok_or(KeyError::Shape)?;
+        let window = window.parse().map_err(|_| KeyError::Window)?;
+        Ok(Self { incarnation: incarnation.parse()?, window })
+    }
+}
+
+/// A whole key: a prefix and an id of the caller's own.
+///
+/// Its text is `<incarnation>.<window>.<own id>`, at most 256 visible ASCII characters.
+#[derive(
+    Clone, Debug, DeserializeFromStr, Eq, Hash, Ord, PartialEq, PartialOrd, SerializeDisplay,
+)]
+pub struct Key {
+    /// Names the process and the window.
+    pub prefix: Prefix,
+    /// The caller's own id within the prefix.
+    pub own: String,
+}
+
+impl Key {
+    /// Whether `text` may stand in a key at all: visible ASCII, not empty, not too long.
+    pub fn is_text(text: &str) -> bool {
+        !text.is_empty()
+            && text.len() <= KEY_MAX_BYTES
+            && text.bytes().all(|byte| byte.is_ascii_graphic())
+    }
+}
+
+impl fmt::Display for Key {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.prefix, self.own)
+    }
+}
+
+impl FromStr for Key {
+    type Err = KeyError;
+
+    fn from_str(text: &str) -> Result<Self, KeyError> {
+        if !Self::is_text(text) {
+            return Err(KeyError::Text);
+        }
+        let mut parts = text.splitn(3, '.');
+        let incarnation = parts.next().ok_or(KeyError::Shape)?.parse()?;
+        let window = parts.next().ok_or(KeyError::Shape)?;
+        let window = window.parse().map_err(|_| KeyError::Window)?;
+        let own = parts.next().filter(|own| !own.is_empty()).ok_or(KeyError::Shape)?;
+        Ok(Self { prefix: Prefix { incarnation, window }, own: own.to_owned() })
+    }
+}
+
+/// Why a text is not a key.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum KeyError {
+    /// Empty, over 256 bytes, or with a character that is not visible ASCII.
+    Text,
+    /// Not three parts separated by dots.
+    Shape,
+    /// The first part is not an incarnation.
+    Incarnation,
+    /// The second part is not a window number.
+    Window,
+}
+
+impl fmt::Display for KeyError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Text => "a key is 1 to 256 visible ASCII characters; shorten or re-encode it",
+            Self::Shape => "a key is <prefix>.<own id>; take a prefix from POST /v1/keys",
+            Self::Incarnation => {
+                "the key's first part names no process; take a prefix from POST /v1/keys"
+            }
+            Self::Window => "the key's second part is no window; take a prefix from POST /v1/keys",
+        })
+    }
+}
+
+impl std::error::Error for KeyError {}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,8 @@
+//! A dispatcher for jobs of sub-second tasks.
+
+pub mod clock;
+pub mod config;
+pub mod invariant;
+pub mod job;
+pub mod platform;
+pub mod settings;
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,2 @@
+//! The program.
+fn main() {}
