--- /dev/null
+++ b/src/dispatch/event.rs
@@ -0,0 +1,203 @@
+//! What goes into the engine and what comes out of it.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::clock::Millis;
+use crate::config::Document;
+use crate::job::{self, Answer, Incarnation, Outcome, Spec};
+
+/// The number of one attempt at a task, unique within its process.
+pub type StartId = u64;
+
+/// A VM of the system, as the membership and the peer links see it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Member {
+    /// Its run.
+    pub incarnation: Incarnation,
+    /// Its failure domain.
+    pub domain: String,
+    /// Whether its link answers heartbeats and it takes new work.
+    pub reachable: bool,
+}
+
+/// A task that another domain's VM coordinates: its coordinator, and the number of the attempt there.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Adopted {
+    /// The coordinator of the task's job.
+    pub coordinator: Incarnation,
+    /// The coordinator's number for the attempt.
+    pub start: StartId,
+}
+
+/// What a coordinator hands over with a task.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Adoption {
+    /// The name that the target sees; see [`Start::name`].
+    pub name: String,
+    /// The service that is asked for.
+    pub service: String,
+    /// The JSON text for the target.
+    pub payload: Arc<str>,
+    /// The run time that the caller expects.
+    pub expected: Option<Millis>,
+    /// Whether the job is repeatable.
+    pub repeatable: bool,
+    /// How long the job still waits.
+    pub remaining: Millis,
+}
+
+/// What the VMs of a domain tell each other about slots.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum SlotMessage {}
+
+/// How one attempt ended.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Report {
+    /// Answered.
+    Done(Answer),
+    /// The target said that it did not start the task: its slots are full or it is leaving.
+    Full,
+    /// Nothing was written to the target, or the attempt was fenced: it never started.
+    Unsent(String),
+    /// It ran and failed.
+    Failed(String),
+    /// It was written and its outcome is lost.
+    Lost(String),
+}
+
+/// Something that happened.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// Another configuration is in force.
+    Configure(Arc<Document>),
+    /// The VMs that are known, this one among them.
+    Members(Arc<[Member]>),
+    /// The targets that the platform marks as leaving.
+    Leaving(Arc<BTreeSet<String>>),
+    /// A job was admitted under a new number.
+    Submit {
+        /// Its number.
+        job: job::Id,
+        /// What was asked.
+        spec: Arc<Spec>,
+    },
+    /// The job's caller wants it cancelled.
+    Cancel {
+        /// Its number.
+        job: job::Id,
+    },
+    /// An attempt ended.
+    Report {
+        /// Which.
+        start: StartId,
+        /// How.
+        report: Report,
+    },
+    /// Another domain's VM hands over a task.
+    Adopt {
+        /// Which.
+        adopted: Adopted,
+        /// What it is.
+        adoption: Adoption,
+    },
+    /// Another domain's VM asks for the fate of a task. One that has not started never will.
+    Fate {
+        /// Which.
+        adopted: Adopted,
+    },
+    /// A VM of the own domain said something about slots.
+    Slots {
+        /// Who.
+        from: Incarnation,
+        /// What.
+        message: SlotMessage,
+    },
+    /// Time has passed.
+    Tick,
+}
+
+/// Where an attempt goes.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Place {
+    /// To a target, by its id.
+    Target(Arc<str>),
+    /// To a VM of another domain.
+    Peer(Incarnation),
+}
+
+/// One attempt to be made.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Start {
+    /// Its number, for the report.
+    pub id: StartId,
+    /// Where it goes.
+    pub place: Place,
+    /// The name that the target sees, unique among all attempts of all VMs.
+    pub name: String,
+    /// The service that is asked for.
+    pub service: String,
+    /// The JSON text for the target.
+    pub payload: Arc<str>,
+    /// The run time that the caller expects.
+    pub expected: Option<Millis>,
+    /// Whether a lost outcome may be followed by another attempt. If not, an idle connection is proved first.
+    pub repeatable: bool,
+    /// How long to wait for the answer.
+    pub timeout: Millis,
+}
+
+/// Something to be done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Make an attempt and report its end.
+    Start(Start),
+    /// Tell a VM of the own domain something about slots.
+    Tell {
+        /// Whom.
+        to: Incarnation,
+        /// What.
+        message: SlotMessage,
+    },
+    /// Give a job's outcome to its callers.
+    End {
+        /// Its number.
+        job: job::Id,
+        /// How it ended.
+        outcome: Outcome,
+    },
+    /// Give the end of a task to the VM that coordinates it.
+    Return {
+        /// Which.
+        adopted: Adopted,
+        /// How it ended.
+        report: Report,
+    },
+}
+
+/// What the engine counts, for the status page and the metrics.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Counts {
+    /// Jobs without an outcome.
+    pub jobs: u64,
+    /// Tasks that wait for a slot.
+    pub waiting: u64,
+    /// Attempts without an end.
+    pub open: u64,
+    /// First attempts so far.
+    pub first_starts: u64,
+    /// Further attempts so far, spare copies among them.
+    pub further_starts: u64,
+    /// Attempts that a full target refused.
+    pub full: u64,
+    /// Attempts that never reached a target.
+    pub unsent: u64,
+    /// Attempts that failed.
+    pub failed: u64,
+    /// Attempts whose outcome was lost.
+    pub lost: u64,
+    /// Jobs refused at the queue.
+    pub refused: u64,
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod clock;
 pub mod config;
+pub mod dispatch;
 pub mod http;
 pub mod invariant;
 pub mod job;
