Add the target, proxy, caller and process stand-ins

The proofs under failure need targets that count their starts outside the program and misbehave on command, a TCP proxy that freezes one direction while new connections work, and real serve processes that can be killed, frozen and thawed.

--- /dev/null
+++ b/tests/standins.rs
@@ -0,0 +1,91 @@
+//! The stand-ins themselves: a target counts starts and fails on command, a proxy holds and cuts.
+
+mod testenv;
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use gypsumkeel::clock::Millis;
+use gypsumkeel::http::{Answer, Connection, Error, Question};
+use http_types::Method;
+use testenv::{Fault, Ledger, Proxy, Target, Way};
+
+async fn send(connection: &mut Connection, id: &str, ms: u64) -> Result<Answer, Error> {
+    let body = format!(r#"{{"id":"{id}","ms":{ms}}}"#);
+    let question = Question {
+        method: Method::Post,
+        path: "/v1/tasks",
+        headers: &[("Task-Id", id), ("Service", "holds")],
+        body: body.as_bytes(),
+        timeout: Millis(300),
+    };
+    connection.ask(&question).await
+}
+
+#[test]
+fn a_target_counts_starts_and_misbehaves_on_command() {
+    let ledger = Arc::<Ledger>::default();
+    let target = Target::start("t", 1, Arc::clone(&ledger));
+    smol::block_on(async {
+        let open = || Connection::open(target.address, Millis(1000));
+        let (mut one, mut two) = (open().await.unwrap(), open().await.unwrap());
+        let both = smol::future::zip(send(&mut one, "a", 50), send(&mut two, "b", 50)).await;
+        let mut statuses = [both.0.unwrap().status, both.1.unwrap().status];
+        statuses.sort_unstable();
+        assert_eq!(statuses, [200, 503]);
+        for (fault, seen) in [
+            (Fault::Fail, Some(500)),
+            (Fault::WrongId, Some(200)),
+            (Fault::Stall, None),
+            (Fault::CloseAfterStart, None),
+            (Fault::DropAnswer, None),
+        ] {
+            target.set(|mode| mode.fault = fault);
+            let answer = send(&mut open().await.unwrap(), "c", 1).await;
+            assert_eq!(answer.ok().map(|answer| answer.status), seen, "{fault:?}");
+        }
+        target.kill();
+        assert!(matches!(open().await, Err(Error::Unsent(_))));
+        target.revive();
+        target.set(|mode| mode.fault = Fault::None);
+        assert_eq!(send(&mut open().await.unwrap(), "d", 1).await.unwrap().status, 200);
+    });
+    assert_eq!((ledger.starts("c"), ledger.starts("d"), ledger.total()), (5, 1, 7));
+    assert_eq!(target.counts().refused.load(Ordering::Relaxed), 1);
+}
+
+#[test]
+fn a_proxy_freezes_cuts_and_loses_answers() {
+    let ledger = Arc::<Ledger>::default();
+    let target = Target::start("t", 8, Arc::clone(&ledger));
+    let proxy = Proxy::start(Some(target.address));
+    smol::block_on(async {
+        let open = || Connection::open(proxy.address, Millis(1000));
+        let mut old = open().await.unwrap();
+        assert_eq!(send(&mut old, "a", 0).await.unwrap().status, 200);
+        for (way, starts) in [(Way::Up, 0), (Way::Down, 1)] {
+            proxy.heal();
+            let mut old = open().await.unwrap();
+            send(&mut old, "a", 0).await.unwrap();
+            proxy.freeze_open(way, true);
+            let silent = send(&mut old, &format!("{way:?}"), 0).await;
+            assert!(matches!(silent, Err(Error::Lost(_))), "{silent:?}");
+            assert_eq!(ledger.starts(&format!("{way:?}")), starts);
+            send(&mut open().await.unwrap(), "new", 0).await.unwrap();
+        }
+        proxy.heal();
+        proxy.lose_answer_to("lost");
+        send(&mut open().await.unwrap(), "lost", 0).await.unwrap_err();
+        assert_eq!((ledger.starts("lost"), proxy.lost()), (1, 1));
+        proxy.refuse(true);
+        send(&mut open().await.unwrap(), "refused", 0).await.unwrap_err();
+        proxy.heal();
+        proxy.refuse_from(|first| first.contains("POST /v1/tasks"));
+        send(&mut open().await.unwrap(), "refused", 0).await.unwrap_err();
+        assert_eq!(ledger.starts("refused"), 0);
+        proxy.heal();
+        proxy.delay(Duration::from_millis(20));
+        assert_eq!(send(&mut open().await.unwrap(), "slow", 0).await.unwrap().status, 200);
+    });
+}
--- /dev/null
+++ b/tests/testenv/caller.rs
@@ -0,0 +1,143 @@
+//! A caller: the JSON calls of an entry VM, each on a connection of its own.
+
+use std::net::SocketAddr;
+
+use gypsumkeel::clock::Millis;
+use gypsumkeel::http::{Connection, Error, Question};
+use http_types::Method;
+use serde_json::{Value, json};
+
+/// How long a caller waits unless it says otherwise.
+const PATIENCE: Millis = Millis::from_secs(30);
+
+/// An answer to a caller.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Reply {
+    pub status: u16,
+    pub body: Value,
+}
+
+impl Reply {
+    /// What a problem document says of the execution.
+    pub fn execution(&self) -> &str {
+        self.body["execution"].as_str().unwrap_or_default()
+    }
+
+    /// The ids in the answers of a complete job, in order.
+    pub fn ids(&self) -> Vec<&str> {
+        let answers = self.body["answers"].as_array().map(Vec::as_slice).unwrap_or_default();
+        answers.iter().filter_map(|answer| answer["id"].as_str()).collect()
+    }
+
+    /// Whether it is the whole answer to the job with these payload ids.
+    pub fn is_whole(&self, ids: &[String]) -> bool {
+        self.status == 200 && self.body["state"] == "complete" && self.ids() == *ids
+    }
+}
+
+/// A job to submit, and the payload ids of its tasks.
+#[derive(Clone, Debug)]
+pub struct Job {
+    pub ids: Vec<String>,
+    pub body: Value,
+}
+
+impl Job {
+    /// A job of `count` tasks of `ms` each, whose payload ids start with `name`.
+    pub fn new(name: &str, count: usize, ms: u64) -> Self {
+        let ids = (0..count).map(|number| format!("{name}/{number}")).collect::<Vec<_>>();
+        let tasks = ids
+            .iter()
+            .map(|id| json!({ "payload": { "id": id, "ms": ms }, "expected_ms": ms }))
+            .collect::<Vec<_>>();
+        let body = json!({ "service": "holds", "team": "desk", "tasks": tasks });
+        Self { ids, body }
+    }
+
+    /// Lets lost tasks be started again.
+    pub fn repeatable(mut self) -> Self {
+        self.body["repeatable"] = true.into();
+        self
+    }
+
+    /// The job's timeout.
+    pub fn timeout(mut self, ms: u64) -> Self {
+        self.body["timeout_ms"] = ms.into();
+        self
+    }
+
+    /// Makes the task at `index` fail wherever it runs.
+    pub fn failing(mut self, index: usize) -> Self {
+        self.body["tasks"][index]["payload"]["fail"] = true.into();
+        self
+    }
+}
+
+/// Calls one entry VM.
+#[derive(Clone, Copy, Debug)]
+pub struct Caller {
+    pub entry: SocketAddr,
+    pub patience: Millis,
+}
+
+impl Caller {
+    /// A caller of the VM at `entry`.
+    pub const fn new(entry: SocketAddr) -> Self {
+        Self { entry, patience: PATIENCE }
+    }
+
+    /// The same, hanging up after `ms`.
+    pub const fn patience(self, ms: u64) -> Self {
+        Self { patience: Millis(ms), ..self }
+    }
+
+    /// Takes a fresh prefix.
+    pub async fn keys(&self) -> Result<String, Error> {
+        let reply = self.call(Method::Post, "/v1/keys", &[], b"").await?;
+        let prefix = reply.body["prefix"].as_str().map(str::to_owned);
+        prefix.ok_or_else(|| Error::Lost(format!("no prefix in {reply:?}")))
+    }
+
+    /// Submits a job and waits for its end.
+    pub async fn submit(&self, key: &str, job: &Job) -> Result<Reply, Error> {
+        let headers = [("Idempotency-Key", key), ("Content-Type", "application/json")];
+        self.call(Method::Post, "/v1/jobs", &headers, job.body.to_string().as_bytes()).await
+    }
+
+    /// Asks how a job stands.
+    pub async fn look(&self, key: &str) -> Result<Reply, Error> {
+        self.call(Method::Get, &format!("/v1/jobs/{key}"), &[], b"").await
+    }
+
+    /// Cancels a job.
+    pub async fn cancel(&self, key: &str) -> Result<Reply, Error> {
+        self.call(Method::Delete, &format!("/v1/jobs/{key}"), &[], b"").await
+    }
+
+    /// Asks the VM how it stands.
+    pub async fn status(&self) -> Result<Reply, Error> {
+        self.call(Method::Get, "/v1/status", &[], b"").await
+    }
+
+    /// Asks whether the VM takes new jobs.
+    pub async fn is_ready(&self) -> bool {
+        let asked = self.call(Method::Get, "/readyz", &[], b"").await;
+        asked.is_ok_and(|reply| reply.status == 200)
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &[u8],
+    ) -> Result<Reply, Error> {
+        let mut connection = Connection::open(self.entry, self.patience).await?;
+        let question = Question { method, path, headers, body, timeout: self.patience };
+        let answer = connection.ask(&question).await;
+        connection.close();
+        let answer = answer?;
+        let body = serde_json::from_slice(&answer.body).unwrap_or(Value::Null);
+        Ok(Reply { status: answer.status, body })
+    }
+}
--- /dev/null
+++ b/tests/testenv/target.rs
@@ -0,0 +1,313 @@
+//! A target: runs each task for as long as its payload says, answers with the payload's id, and
+//! misbehaves on command. Starts are counted here, outside the program under test.
+
+use std::collections::{HashMap, HashSet};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde_json::json;
+use smol::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use smol::net::{TcpListener, TcpStream};
+use smol::{Task, Timer};
+
+use super::EXECUTOR;
+
+/// How long a task runs before its target looks again at its speed.
+const STEP_MS: f64 = 20.0;
+
+/// Every start at any target of one environment, by the id in the payload.
+#[derive(Debug, Default)]
+pub struct Ledger {
+    starts: Mutex<HashMap<String, Vec<String>>>,
+}
+
+impl Ledger {
+    fn note(&self, id: &str, target: &str) {
+        self.starts.lock().unwrap().entry(id.into()).or_default().push(target.into());
+    }
+
+    /// How often the task with this payload id was started.
+    pub fn starts(&self, id: &str) -> usize {
+        self.starts.lock().unwrap().get(id).map_or(0, Vec::len)
+    }
+
+    /// The targets that started it, in order.
+    pub fn targets(&self, id: &str) -> Vec<String> {
+        self.starts.lock().unwrap().get(id).cloned().unwrap_or_default()
+    }
+
+    /// How many different payload ids were started.
+    pub fn ids(&self) -> usize {
+        self.starts.lock().unwrap().len()
+    }
+
+    /// All starts together.
+    pub fn total(&self) -> usize {
+        self.starts.lock().unwrap().values().map(Vec::len).sum()
+    }
+
+    /// The payload ids that were started more than once, apart from those in `allowed`.
+    pub fn repeated(&self, allowed: &HashSet<String>) -> Vec<(String, Vec<String>)> {
+        let starts = self.starts.lock().unwrap();
+        let twice = starts.iter().filter(|(id, at)| at.len() > 1 && !allowed.contains(*id));
+        twice.map(|(id, at)| (id.clone(), at.clone())).collect()
+    }
+}
+
+/// How a target misbehaves.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Fault {
+    /// Not at all.
+    #[default]
+    None,
+    /// Every task fails at once with a 500.
+    Fail,
+    /// Tasks are taken and never answered.
+    Stall,
+    /// Answers carry the id of another task.
+    WrongId,
+    /// The connection is closed as soon as the task has started.
+    CloseAfterStart,
+    /// The task runs to its end and the connection is closed in place of the answer.
+    DropAnswer,
+}
+
+/// What a target does now.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Mode {
+    pub fault: Fault,
+    /// How many times slower than the payload says; may change while tasks run.
+    pub slowdown: f64,
+    /// Tasks at once; one more is refused as not started.
+    pub slots: usize,
+    /// Whether all work is refused as not started.
+    pub leaving: bool,
+}
+
+/// What a target has seen.
+#[derive(Debug, Default)]
+pub struct Counts {
+    pub running: AtomicUsize,
+    pub answered: AtomicUsize,
+    pub refused: AtomicUsize,
+    pub probes: AtomicUsize,
+    pub connections: AtomicUsize,
+    pub connections_max: AtomicUsize,
+}
+
+#[derive(Debug)]
+struct Shared {
+    name: String,
+    mode: Mutex<Mode>,
+    counts: Counts,
+    ledger: Arc<Ledger>,
+    connections: Mutex<Vec<Task<()>>>,
+}
+
+/// A running target.
+#[derive(Debug)]
+pub struct Target {
+    pub name: String,
+    pub address: SocketAddr,
+    shared: Arc<Shared>,
+    accepting: Mutex<Option<Task<()>>>,
+}
+
+impl Target {
+    /// Starts one on a free port.
+    pub fn start(name: &str, slots: usize, ledger: Arc<Ledger>) -> Self {
+        let mode = Mode { fault: Fault::None, slowdown: 1.0, slots, leaving: false };
+        let shared = Arc::new(Shared {
+            name: name.into(),
+            mode: Mutex::new(mode),
+            counts: Counts::default(),
+            ledger,
+            connections: Mutex::default(),
+        });
+        let (address, accepting) = listen(&shared, ([127, 0, 0, 1], 0).into());
+        Self { name: name.into(), address, shared, accepting: Mutex::new(Some(accepting)) }
+    }
+
+    /// Changes what it does from now on.
+    pub fn set(&self, change: impl FnOnce(&mut Mode)) {
+        change(&mut self.shared.mode.lock().unwrap());
+    }
+
+    /// What it has seen.
+    pub fn counts(&self) -> &Counts {
+        &self.shared.counts
+    }
+
+    /// Dies: the port closes, and so does every connection with its task in flight.
+    pub fn kill(&self) {
+        drop(self.accepting.lock().unwrap().take());
+        self.shared.connections.lock().unwrap().clear();
+    }
+
+    /// Comes back on the same port.
+    pub fn revive(&self) {
+        let (_, accepting) = listen(&self.shared, self.address);
+        *self.accepting.lock().unwrap() = Some(accepting);
+    }
+}
+
+impl Drop for Target {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+fn listen(shared: &Arc<Shared>, address: SocketAddr) -> (SocketAddr, Task<()>) {
+    let listener = smol::block_on(TcpListener::bind(address)).unwrap();
+    let bound = listener.local_addr().unwrap();
+    let shared = Arc::clone(shared);
+    let accepting = EXECUTOR.spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let served = EXECUTOR.spawn(serve(Arc::clone(&shared), stream));
+            let mut connections = shared.connections.lock().unwrap();
+            connections.retain(|task| !task.is_finished());
+            connections.push(served);
+        }
+    });
+    (bound, accepting)
+}
+
+/// Counts one more for as long as it lives.
+struct Held<'a>(&'a AtomicUsize);
+
+impl<'a> Held<'a> {
+    fn new(count: &'a AtomicUsize) -> (Self, usize) {
+        let now = count.fetch_add(1, Ordering::Relaxed) + 1;
+        (Self(count), now)
+    }
+}
+
+impl Drop for Held<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+async fn serve(shared: Arc<Shared>, mut stream: TcpStream) {
+    let (_open, now) = Held::new(&shared.counts.connections);
+    shared.counts.connections_max.fetch_max(now, Ordering::Relaxed);
+    drop(stream.set_nodelay(true));
+    let mut buffer = Vec::new();
+    while let Ok(Some(request)) = read(&mut stream, &mut buffer).await {
+        let Some(answer) = shared.answer(&request, &mut stream).await else { return };
+        if stream.write_all(answer.as_bytes()).await.is_err() {
+            return;
+        }
+    }
+}
+
+struct Request {
+    path: String,
+    task: String,
+    body: Vec<u8>,
+}
+
+#[derive(Deserialize)]
+struct Payload {
+    id: String,
+    #[serde(default)]
+    ms: f64,
+    /// Whether the task fails on every target.
+    #[serde(default)]
+    fail: bool,
+}
+
+impl Shared {
+    async fn answer(&self, request: &Request, stream: &mut TcpStream) -> Option<String> {
+        if request.path == "/healthz" {
+            self.counts.probes.fetch_add(1, Ordering::Relaxed);
+            return Some(reply("200 OK", "", "{}"));
+        }
+        let mode = *self.mode.lock().unwrap();
+        let (_running, now) = Held::new(&self.counts.running);
+        if mode.leaving || now > mode.slots {
+            self.counts.refused.fetch_add(1, Ordering::Relaxed);
+            return Some(reply("503 Service Unavailable", "Not-Started: true\r\n", "{}"));
+        }
+        let payload = serde_json::from_slice::<Payload>(&request.body).unwrap();
+        self.ledger.note(&payload.id, &self.name);
+        let echoed = format!("Task-Id: {}\r\n", request.task);
+        match mode.fault {
+            Fault::Fail => {
+                return Some(reply("500 Internal Server Error", &echoed, r#"{"error":"broken"}"#));
+            }
+            Fault::CloseAfterStart => return None,
+            Fault::Stall => {
+                drop(stream.read(&mut [0]).await);
+                return None;
+            }
+            Fault::None | Fault::WrongId | Fault::DropAnswer => self.run(payload.ms).await,
+        }
+        let body = json!({ "id": payload.id, "target": self.name }).to_string();
+        self.counts.answered.fetch_add(1, Ordering::Relaxed);
+        match mode.fault {
+            Fault::DropAnswer => None,
+            Fault::WrongId => Some(reply("200 OK", "Task-Id: another-task\r\n", &body)),
+            _ if payload.fail => Some(reply("500 Internal Server Error", &echoed, &body)),
+            _ => Some(reply("200 OK", &echoed, &body)),
+        }
+    }
+
+    async fn run(&self, ms: f64) {
+        let mut left = ms;
+        while left > 0.0 {
+            let slowdown = self.mode.lock().unwrap().slowdown;
+            let step = (left * slowdown).min(STEP_MS);
+            Timer::after(Duration::from_secs_f64(step / 1000.0)).await;
+            left -= step / slowdown;
+        }
+    }
+}
+
+fn reply(status: &str, headers: &str, body: &str) -> String {
+    let length = body.len();
+    format!(
+        "HTTP/1.1 {status}\r\n{headers}Content-Type: application/json\r\nContent-Length: {length}\r\n\r\n{body}"
+    )
+}
+
+/// Reads one request with a body of known length; `None` at the end of the stream.
+async fn read(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> io::Result<Option<Request>> {
+    let head_end = loop {
+        if let Some(at) = buffer.windows(4).position(|bytes| bytes == b"\r\n\r\n") {
+            break at + 4;
+        }
+        if !read_more(stream, buffer).await? {
+            return Ok(None);
+        }
+    };
+    let head = String::from_utf8_lossy(&buffer[..head_end]).into_owned();
+    let length = header(&head, "content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
+    while buffer.len() < head_end + length {
+        if !read_more(stream, buffer).await? {
+            return Ok(None);
+        }
+    }
+    let body = buffer[head_end..head_end + length].to_vec();
+    buffer.drain(..head_end + length);
+    let path = head.split(' ').nth(1).unwrap_or_default().to_owned();
+    let task = header(&head, "task-id").unwrap_or_default().to_owned();
+    Ok(Some(Request { path, task, body }))
+}
+
+async fn read_more(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> io::Result<bool> {
+    let mut chunk = [0; 4096];
+    let read = stream.read(&mut chunk).await?;
+    buffer.extend_from_slice(&chunk[..read]);
+    Ok(read > 0)
+}
+
+fn header<'a>(head: &'a str, name: &str) -> Option<&'a str> {
+    let fields = head.lines().filter_map(|line| line.split_once(':'));
+    let mut named = fields.filter(|(field, _)| field.eq_ignore_ascii_case(name));
+    named.next().map(|(_, value)| value.trim())
+}
