Read the settings of a VM and report every fault at once

Serde stops at the first fault, so a file with three took three rounds to mend. Rules that types can't say (required fields, patience against interval, lease against renewal) are checked after that. serde_path_to_error gives the path of a fault; walking the YAML by hand against a second list of known fields was ruled out, since it would have to be kept in step with the types.

--- /dev/null
+++ b/src/settings/check.rs
@@ -0,0 +1,114 @@
+//! What the types of the settings can't say: fields that must be there, and fields that must fit together.
+
+use serde_norway::Value;
+
+use super::{Fault, Settings, read, unit};
+use crate::clock::Millis;
+
+/// The shortest lease that Consul grants.
+const LEASE_TTL_MIN: Millis = Millis::from_secs(10);
+
+/// The most threads that make sense on one VM.
+const THREADS_MAX: usize = 256;
+
+/// The fields without a default, each with what belongs there.
+const REQUIRED: [(&str, &str); 6] = [
+    ("vm", "give the VM a name of its own, such as lantern-a-1"),
+    ("domain", "name the VM's failure domain, such as a"),
+    ("region", "name the VM's region, such as south"),
+    ("listen.callers", "give IP:PORT for callers; port 0 takes a free one"),
+    ("listen.peers", "give IP:PORT for other VMs; port 0 takes a free one"),
+    ("store.url", "give the store as http://IP:PORT"),
+];
+
+/// The required fields that `root` lacks.
+pub fn missing(root: &Value) -> impl Iterator<Item = Fault> {
+    let absent = |path: &str| read::lookup(root, path).is_none_or(Value::is_null);
+    REQUIRED
+        .iter()
+        .filter(move |(path, _)| absent(path))
+        .map(|(path, remedy)| Fault::missing(path, *remedy))
+}
+
+/// The rules that settings break.
+pub fn rules(settings: &Settings) -> Vec<Fault> {
+    let mut faults = Vec::new();
+    let mut check = |holds: bool, path: &str, value: String, remedy: &str| {
+        if !holds {
+            faults.push(Fault::new(path, value, remedy));
+        }
+    };
+    for (path, name) in
+        [("vm", &settings.vm), ("domain", &settings.domain), ("region", &settings.region)]
+    {
+        check(
+            is_name(name),
+            path,
+            format!("{name:?}"),
+            "use letters, digits, '-', '_' and '.' only",
+        );
+    }
+    let threads = settings.threads;
+    check(
+        (1..=THREADS_MAX).contains(&threads),
+        "threads",
+        threads.to_string(),
+        "use 1 to 256, best the number of processors",
+    );
+    let positive = [
+        ("drain", settings.drain),
+        ("store.timeout", settings.store.timeout),
+        ("heartbeat.every", settings.heartbeat.every),
+        ("lease.renew", settings.lease.renew),
+        ("callers.head_timeout", settings.callers.head_timeout),
+        ("callers.body_timeout", settings.callers.body_timeout),
+        ("targets.connect_timeout", settings.targets.connect_timeout),
+        ("targets.prove_after", settings.targets.prove_after),
+    ];
+    for (path, span) in positive {
+        check(span > Millis::ZERO, path, unit::text(span), "use a time above zero");
+    }
+    check(
+        settings.heartbeat.patience >= settings.heartbeat.every * 2,
+        "heartbeat.patience",
+        unit::text(settings.heartbeat.patience),
+        "use at least twice heartbeat.every, so that one lost heartbeat does no harm",
+    );
+    check(
+        settings.lease.ttl >= LEASE_TTL_MIN,
+        "lease.ttl",
+        unit::text(settings.lease.ttl),
+        "use at least 10s, the shortest that the store grants",
+    );
+    check(
+        settings.lease.ttl >= settings.lease.renew * 2,
+        "lease.renew",
+        unit::text(settings.lease.renew),
+        "use at most half of lease.ttl, so that one lost renewal does no harm",
+    );
+    check(
+        settings.callers.connections_max > 0,
+        "callers.connections_max",
+        settings.callers.connections_max.to_string(),
+        "use at least 1",
+    );
+    let prefix = &settings.store.prefix;
+    check(
+        !prefix.is_empty() && prefix.split('/').all(is_name),
+        "store.prefix",
+        format!("{prefix:?}"),
+        "use names with '/' between them, such as gypsumkeel/lantern",
+    );
+    check(
+        is_name(&settings.store.list),
+        "store.list",
+        format!("{:?}", settings.store.list),
+        "name the service of the platform's VM list, such as targets",
+    );
+    faults
+}
+
+fn is_name(text: &str) -> bool {
+    let fits = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte);
+    !text.is_empty() && text.bytes().all(fits)
+}
--- a/src/settings/unit.rs
+++ b/src/settings/unit.rs
@@ -1,6 +1,7 @@
-//! Adapters that write times as `2s` and sizes as `64KiB`.
+//! Adapters that write times as `2s`, sizes as `64KiB` and HTTP servers as `http://IP:PORT`.
 
 use std::fmt;
+use std::net::SocketAddr;
 
 use bytesize::ByteSize;
 use serde::de::{self, Visitor};
@@ -9,13 +10,25 @@
 
 use crate::clock::Millis;
 
+/// A time as it is written in settings, such as `1m 30s`.
+pub fn text(span: Millis) -> String {
+    humantime::format_duration(span.duration()).to_string()
+}
+
 /// Reads and writes [`Millis`] as `250ms`, `2s` or `1m`.
 #[derive(Debug)]
 pub struct Span;
 
+impl Span {
+    /// The time in `text`.
+    pub fn parse(text: &str) -> Option<Millis> {
+        humantime::parse_duration(text).ok().map(Millis::from)
+    }
+}
+
 impl SerializeAs<Millis> for Span {
     fn serialize_as<S: Serializer>(value: &Millis, serializer: S) -> Result<S::Ok, S::Error> {
-        humantime::format_duration(value.duration()).to_string().serialize(serializer)
+        text(*value).serialize(serializer)
     }
 }
 
@@ -30,9 +43,7 @@
             }
 
             fn visit_str<E: de::Error>(self, text: &str) -> Result<Millis, E> {
-                let span = humantime::parse_duration(text);
-                span.map(Millis::from)
-                    .map_err(|_| E::invalid_value(de::Unexpected::Str(text), &self))
+                Span::parse(text).ok_or_else(|| E::invalid_value(de::Unexpected::Str(text), &self))
             }
         }
         deserializer.deserialize_str(Text)
@@ -72,3 +83,40 @@
         deserializer.deserialize_any(Text)
     }
 }
+
+/// Reads and writes the address of an HTTP server as `http://192.0.2.1:8500`.
+#[derive(Debug)]
+pub struct HttpAddress;
+
+impl HttpAddress {
+    /// The address in `text`. The scheme and a final slash may be left out.
+    pub fn parse(text: &str) -> Option<SocketAddr> {
+        let rest = text.strip_prefix("http://").unwrap_or(text);
+        rest.strip_suffix('/').unwrap_or(rest).parse().ok()
+    }
+}
+
+impl SerializeAs<SocketAddr> for HttpAddress {
+    fn serialize_as<S: Serializer>(value: &SocketAddr, serializer: S) -> Result<S::Ok, S::Error> {
+        format!("http://{value}").serialize(serializer)
+    }
+}
+
+impl<'de> DeserializeAs<'de, SocketAddr> for HttpAddress {
+    fn deserialize_as<D: Deserializer<'de>>(deserializer: D) -> Result<SocketAddr, D::Error> {
+        struct Text;
+        impl Visitor<'_> for Text {
+            type Value = SocketAddr;
+
+            fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str("a server by its IP number, such as http://192.0.2.1:8500")
+            }
+
+            fn visit_str<E: de::Error>(self, text: &str) -> Result<SocketAddr, E> {
+                HttpAddress::parse(text)
+                    .ok_or_else(|| E::invalid_value(de::Unexpected::Str(text), &self))
+            }
+        }
+        deserializer.deserialize_str(Text)
+    }
+}
