Serve jobs over HTTP, between VMs and to targets

The thin path: callers' server, key table, engine, target pools and peer links in one process; dev runs it with echo targets. Not yet covered by a test with several processes.

--- /dev/null
+++ b/src/peer/links.rs
@@ -0,0 +1,315 @@
+//! All links of a VM: dialling, heartbeats, and what comes in on links that others dialled.
+
+use std::collections::{BTreeMap, HashSet};
+use std::fmt;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, PoisonError};
+
+use arc_swap::ArcSwap;
+use smol::Timer;
+use smol::channel::{self, Sender};
+use smol::future::FutureExt as _;
+use smol::net::TcpStream;
+
+use crate::clock::Millis;
+use crate::job::Incarnation;
+use crate::runtime;
+use crate::wire::{Call, Frame, Hello, Note, Reply, VERSION};
+
+use super::link::Link;
+use super::socket::{self, Broken, Source};
+
+/// The pause before the first new try to dial; it doubles up to [`REDIAL_MAX`].
+const REDIAL_MIN: Millis = Millis(50);
+
+/// The longest pause between tries to dial.
+const REDIAL_MAX: Millis = Millis(2000);
+
+/// Tries after which an address that never answered as a known VM is given up.
+const DIALS_MAX: u32 = 200;
+
+/// Frames that may wait to be sent on a link that another VM dialled.
+const REPLIES_MAX: usize = 8192;
+
+/// How often heartbeats go out, and how long silence may last before a link is given up.
+#[derive(Clone, Copy, Debug)]
+pub struct Rules {
+    /// The time between heartbeats.
+    pub every: Millis,
+    /// The longest silence.
+    pub patience: Millis,
+}
+
+/// What a VM does with what its peers ask and tell.
+pub trait Handler: fmt::Debug + Send + Sync {
+    /// Answers a question of `from`.
+    fn call(
+        self: Arc<Self>,
+        from: Incarnation,
+        call: Call,
+    ) -> Pin<Box<dyn Future<Output = Reply> + Send>>;
+
+    /// Takes news from `from`.
+    fn note(self: Arc<Self>, from: Incarnation, note: Note);
+
+    /// A link to a VM has come up or gone down.
+    fn changed(self: Arc<Self>);
+}
+
+/// All links that this VM dialled.
+#[derive(Debug)]
+pub struct Links {
+    own: Hello,
+    rules: Rules,
+    up: ArcSwap<BTreeMap<Incarnation, Arc<Link>>>,
+    dialled: Mutex<HashSet<SocketAddr>>,
+    changed: event::Event,
+}
+
+/// A condition that tasks can wait for.
+mod event {
+    use std::sync::{Mutex, PoisonError};
+
+    use smol::channel::{self, Receiver, Sender};
+
+    /// Wakes all tasks that wait.
+    #[derive(Debug, Default)]
+    pub struct Event(Mutex<Vec<Sender<()>>>);
+
+    impl Event {
+        /// A receiver that ends at the next [`Event::notify`].
+        pub fn listen(&self) -> Receiver<()> {
+            let (sender, receiver) = channel::bounded(1);
+            self.0.lock().unwrap_or_else(PoisonError::into_inner).push(sender);
+            receiver
+        }
+
+        /// Wakes everybody who listens.
+        pub fn notify(&self) {
+            self.0.lock().unwrap_or_else(PoisonError::into_inner).clear();
+        }
+    }
+}
+
+impl Links {
+    /// No links yet, for the VM that says `own`.
+    pub fn new(own: Hello, rules: Rules) -> Self {
+        Self {
+            own,
+            rules,
+            up: ArcSwap::default(),
+            dialled: Mutex::default(),
+            changed: event::Event::default(),
+        }
+    }
+
+    /// Who this VM says it is.
+    pub const fn own(&self) -> &Hello {
+        &self.own
+    }
+
+    /// The links that are up.
+    pub fn up(&self) -> Arc<BTreeMap<Incarnation, Arc<Link>>> {
+        self.up.load_full()
+    }
+
+    /// The link to a VM, if it is up.
+    pub fn get(&self, incarnation: Incarnation) -> Option<Arc<Link>> {
+        self.up.load().get(&incarnation).cloned()
+    }
+
+    /// The link to a VM once it is up, or nothing after `patience`.
+    pub async fn wait_for(&self, incarnation: Incarnation, patience: Millis) -> Option<Arc<Link>> {
+        let found = async {
+            loop {
+                let listener = self.changed.listen();
+                if let Some(link) = self.get(incarnation) {
+                    return Some(link);
+                }
+                let _ = listener.recv().await;
+            }
+        };
+        let late = async {
+            Timer::after(patience.duration()).await;
+            None
+        };
+        found.or(late).await
+    }
+
+    /// Dials an address, and keeps a link to it, unless that is being done already.
+    pub fn know(self: &Arc<Self>, address: SocketAddr, handler: &Arc<dyn Handler>) {
+        let mut dialled = self.dialled.lock().unwrap_or_else(PoisonError::into_inner);
+        if address == self.own.peers || !dialled.insert(address) {
+            return;
+        }
+        let links = Arc::clone(self);
+        let handler = Arc::clone(handler);
+        runtime::spawn(async move { links.keep(address, &handler).await }).detach();
+    }
+
+    /// Serves a connection that another VM dialled, until it ends.
+    pub async fn serve(&self, stream: TcpStream, handler: &Arc<dyn Handler>) -> Result<(), Broken> {
+        drop(stream.set_nodelay(true));
+        let (mut sink, mut source) = within(self.rules.patience, socket::accept(stream)).await?;
+        sink.send(&Frame::Hello(self.own.clone())).await?;
+        let hello = within(self.rules.patience, receive_hello(&mut source)).await?;
+        let (queue, frames) = channel::bounded(REPLIES_MAX);
+        let incoming = async {
+            loop {
+                let frame = within(self.rules.patience, source.next()).await?;
+                serve_frame(&hello, frame, &queue, handler)?;
+            }
+        };
+        incoming.or(sink.drain(&frames)).await
+    }
+
+    /// Dials again and again; ends when the address is given up.
+    async fn keep(self: Arc<Self>, address: SocketAddr, handler: &Arc<dyn Handler>) {
+        let mut pause = REDIAL_MIN;
+        let mut failures = 0;
+        while failures < DIALS_MAX {
+            match self.dial(address, handler).await {
+                Ok(Ended::Own) => return,
+                Ok(Ended::Cut(why)) => {
+                    log::info!("event=link-down peer={address} reason={why:?}");
+                    pause = REDIAL_MIN;
+                    failures = 0;
+                }
+                Err(why) => {
+                    log::debug!("event=dial-failed peer={address} reason={why:?}");
+                    failures += 1;
+                }
+            }
+            let jitter = fastrand::u64(0..=pause.0 / 2);
+            Timer::after((pause + Millis(jitter)).duration()).await;
+            pause = (pause * 2).min(REDIAL_MAX);
+        }
+        self.dialled.lock().unwrap_or_else(PoisonError::into_inner).remove(&address);
+    }
+
+    async fn dial(&self, address: SocketAddr, handler: &Arc<dyn Handler>) -> Result<Ended, Broken> {
+        let patience = self.rules.patience;
+        let connect = async {
+            let stream = TcpStream::connect(address).await;
+            stream.map_err(|error| Broken::because(error.to_string()))
+        };
+        let stream = within(patience, connect).await?;
+        drop(stream.set_nodelay(true));
+        let (mut sink, mut source) = within(patience, socket::dial(stream)).await?;
+        sink.send(&Frame::Hello(self.own.clone())).await?;
+        let hello = within(patience, receive_hello(&mut source)).await?;
+        if hello.incarnation == self.own.incarnation {
+            return Ok(Ended::Own);
+        }
+        let (link, frames) = Link::new(hello);
+        let link = Arc::new(link);
+        log::info!("event=link-up peer={address} vm={}", link.hello.vm);
+        self.change(handler, |up| {
+            up.insert(link.hello.incarnation, Arc::clone(&link));
+        });
+        let ended = self.run(&link, &mut source, sink.drain(&frames)).await;
+        link.end();
+        self.change(handler, |up| {
+            let current = up.get(&link.hello.incarnation);
+            if current.is_some_and(|current| Arc::ptr_eq(current, &link)) {
+                up.remove(&link.hello.incarnation);
+            }
+        });
+        Ok(Ended::Cut(ended.err().map_or_else(String::new, |why| why.to_string())))
+    }
+
+    async fn run(
+        &self,
+        link: &Link,
+        source: &mut Source,
+        sending: impl Future<Output = Result<(), Broken>>,
+    ) -> Result<(), Broken> {
+        let beats = async {
+            loop {
+                link.beat();
+                Timer::after(self.rules.every.duration()).await;
+            }
+        };
+        let answers = async {
+            loop {
+                let frame = within(self.rules.patience, source.next()).await?;
+                if let Frame::Reply { id, reply } = frame {
+                    link.answer(id, reply);
+                }
+            }
+        };
+        sending.or(answers).or(beats).await
+    }
+
+    fn change(
+        &self,
+        handler: &Arc<dyn Handler>,
+        change: impl Fn(&mut BTreeMap<Incarnation, Arc<Link>>),
+    ) {
+        self.up.rcu(|up| {
+            let mut up = BTreeMap::clone(up);
+            change(&mut up);
+            up
+        });
+        self.changed.notify();
+        Arc::clone(handler).changed();
+    }
+}
+
+/// How a link that was made ended.
+enum Ended {
+    /// The address is this VM's own.
+    Own,
+    /// It broke.
+    Cut(String),
+}
+
+fn serve_frame(
+    hello: &Hello,
+    frame: Frame,
+    queue: &Sender<Frame>,
+    handler: &Arc<dyn Handler>,
+) -> Result<(), Broken> {
+    match frame {
+        Frame::Beat => {
+            drop(queue.try_send(Frame::Beat));
+        }
+        Frame::Note(note) => Arc::clone(handler).note(hello.incarnation, note),
+        Frame::Call { id, call } => {
+            let answer = Arc::clone(handler).call(hello.incarnation, call);
+            let queue = queue.clone();
+            runtime::spawn(async move {
+                let reply = answer.await;
+                drop(queue.send(Frame::Reply { id, reply }).await);
+            })
+            .detach();
+        }
+        Frame::Hello(_) | Frame::Reply { .. } => {
+            return Err(Broken::because("a frame came out of turn"));
+        }
+    }
+    Ok(())
+}
+
+async fn receive_hello(source: &mut Source) -> Result<Hello, Broken> {
+    match source.next().await? {
+        Frame::Hello(hello) if hello.version == VERSION => Ok(hello),
+        Frame::Hello(hello) => Err(Broken::because(format!(
+            "the peer speaks version {}, not {VERSION}",
+            hello.version
+        ))),
+        _ => Err(Broken::because("the peer did not say hello first")),
+    }
+}
+
+async fn within<T>(
+    limit: Millis,
+    work: impl Future<Output = Result<T, Broken>>,
+) -> Result<T, Broken> {
+    let late = async {
+        Timer::after(limit.duration()).await;
+        Err(Broken::because(format!("silent for {limit}")))
+    };
+    work.or(late).await
+}
--- /dev/null
+++ b/src/peer/mod.rs
@@ -0,0 +1,8 @@
+//! Links to the other VMs: one dialled by each side of a pair, kept alive by heartbeats.
+
+mod link;
+mod links;
+mod socket;
+
+pub use link::{Cut, Link};
+pub use links::{Handler, Links, Rules};
--- /dev/null
+++ b/src/peer/socket.rs
@@ -0,0 +1,116 @@
+//! A WebSocket that carries frames, split into its two directions.
+
+use std::fmt;
+
+use async_tungstenite::tungstenite::protocol::WebSocketConfig;
+use async_tungstenite::tungstenite::{Bytes, Message};
+use async_tungstenite::{WebSocketStream, accept_async_with_config, client_async_with_config};
+use futures_util::stream::{SplitSink, SplitStream};
+use futures_util::{SinkExt as _, StreamExt as _};
+use smol::channel::Receiver;
+use smol::net::TcpStream;
+
+use crate::wire::{FRAME_MAX_BYTES, Frame};
+
+/// Bytes that a link buffers in each direction.
+const BUFFER_BYTES: usize = 16 << 10;
+
+/// The receiving half.
+#[derive(Debug)]
+pub struct Source(SplitStream<WebSocketStream<TcpStream>>);
+
+/// The sending half.
+#[derive(Debug)]
+pub struct Sink(SplitSink<WebSocketStream<TcpStream>, Message>);
+
+/// Why a link can't go on.
+#[derive(Clone, Debug)]
+pub struct Broken(String);
+
+impl fmt::Display for Broken {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}; the link is made anew", self.0)
+    }
+}
+
+impl std::error::Error for Broken {}
+
+impl Broken {
+    /// For a reason of the caller's own.
+    pub fn because(reason: impl Into<String>) -> Self {
+        Self(reason.into())
+    }
+}
+
+fn broken(error: impl fmt::Display) -> Broken {
+    Broken(error.to_string())
+}
+
+fn config() -> WebSocketConfig {
+    WebSocketConfig::default()
+        .read_buffer_size(BUFFER_BYTES)
+        .write_buffer_size(BUFFER_BYTES)
+        .max_message_size(Some(FRAME_MAX_BYTES))
+        .max_frame_size(Some(FRAME_MAX_BYTES))
+}
+
+/// Makes the WebSocket handshake on a connection that was dialled.
+pub async fn dial(stream: TcpStream) -> Result<(Sink, Source), Broken> {
+    let address = stream.peer_addr().map_err(broken)?;
+    let url = format!("ws://{address}/");
+    let (socket, _) =
+        client_async_with_config(url, stream, Some(config())).await.map_err(broken)?;
+    Ok(split(socket))
+}
+
+/// Makes the WebSocket handshake on a connection that was accepted.
+pub async fn accept(stream: TcpStream) -> Result<(Sink, Source), Broken> {
+    let socket = accept_async_with_config(stream, Some(config())).await.map_err(broken)?;
+    Ok(split(socket))
+}
+
+fn split(socket: WebSocketStream<TcpStream>) -> (Sink, Source) {
+    let (sink, source) = socket.split();
+    (Sink(sink), Source(source))
+}
+
+impl Source {
+    /// The next frame. A message that is no frame breaks the link.
+    pub async fn next(&mut self) -> Result<Frame, Broken> {
+        loop {
+            let message = self.0.next().await.ok_or_else(|| broken("the link was closed"))?;
+            match message.map_err(broken)? {
+                Message::Binary(bytes) => return Frame::decode(&bytes).map_err(broken),
+                Message::Ping(_) | Message::Pong(_) => {}
+                other => {
+                    return Err(Broken(format!("unexpected message of {} bytes", other.len())));
+                }
+            }
+        }
+    }
+}
+
+impl Sink {
+    /// Sends one frame at once.
+    pub async fn send(&mut self, frame: &Frame) -> Result<(), Broken> {
+        self.feed(frame).await?;
+        self.0.flush().await.map_err(broken)
+    }
+
+    /// Sends all that comes out of `queue`, as many frames to a write as wait, until it is closed.
+    pub async fn drain(&mut self, queue: &Receiver<Frame>) -> Result<(), Broken> {
+        while let Ok(frame) = queue.recv().await {
+            self.feed(&frame).await?;
+            while let Ok(frame) = queue.try_recv() {
+                self.feed(&frame).await?;
+            }
+            self.0.flush().await.map_err(broken)?;
+        }
+        Ok(())
+    }
+
+    async fn feed(&mut self, frame: &Frame) -> Result<(), Broken> {
+        let bytes = frame.encode().map_err(broken)?;
+        self.0.feed(Message::Binary(Bytes::from(bytes))).await.map_err(broken)
+    }
+}
--- /dev/null
+++ b/src/runtime.rs
@@ -0,0 +1,24 @@
+//! The threads that run all tasks of the process.
+
+use std::io;
+use std::thread;
+
+use smol::Task;
+use smol::future::pending;
+
+static EXECUTOR: smol::Executor<'static> = smol::Executor::new();
+
+/// Starts `threads` threads that run spawned tasks and wait for I/O.
+pub fn start(threads: usize) -> io::Result<()> {
+    for number in 0..threads.max(1) {
+        let name = format!("worker-{number}");
+        let run = || smol::block_on(EXECUTOR.run(pending::<()>()));
+        thread::Builder::new().name(name).spawn(run)?;
+    }
+    Ok(())
+}
+
+/// Spawns a task on those threads. Dropping the handle cancels the task; detach it to let it run.
+pub fn spawn<T: Send + 'static>(future: impl Future<Output = T> + Send + 'static) -> Task<T> {
+    EXECUTOR.spawn(future)
+}
--- /dev/null
+++ b/src/serve/calls.rs
@@ -0,0 +1,85 @@
+//! What other VMs ask and tell, and the tasks that go to them.
+
+use std::sync::Arc;
+
+use smol::Timer;
+
+use crate::clock::Millis;
+use crate::dispatch::{Adopted, Adoption, Event, Report, Start};
+use crate::job::{Incarnation, Outcome};
+use crate::peer::Handler;
+use crate::wire::{Call, Note, Reply};
+
+use super::node::Node;
+
+/// How long a VM of another domain is looked for again before a task's outcome counts as lost.
+const FATE_PATIENCE: Millis = Millis(5000);
+
+/// Answers a question of another VM.
+pub async fn answer(node: Arc<Node>, from: Incarnation, call: Call) -> Reply {
+    match call {
+        Call::Submit { key, spec } => {
+            let outcome = node.coordinate(&key, spec).await;
+            Reply::Outcome(Outcome::clone(&outcome))
+        }
+        Call::Look { key } => Reply::Seen(node.look_own(&key)),
+        Call::Cancel { key } => Reply::Seen(node.cancel_own(&key)),
+        Call::Run { start, adoption } => {
+            let adopted = Adopted { coordinator: from, start };
+            Reply::Report(node.adopt(Event::Adopt { adopted, adoption }).await)
+        }
+        Call::Fate { start } => {
+            let adopted = Adopted { coordinator: from, start };
+            Reply::Report(node.adopt(Event::Fate { adopted }).await)
+        }
+    }
+}
+
+/// Takes news from another VM.
+pub fn take(node: &Arc<Node>, from: Incarnation, news: Note) {
+    match news {
+        Note::Slots(message) => node.handle(Event::Slots { from, message }),
+        Note::Peers(addresses) => {
+            let handler = Arc::clone(node) as Arc<dyn Handler>;
+            for address in addresses {
+                node.links.know(address, &handler);
+            }
+        }
+    }
+}
+
+impl Node {
+    /// Hands an attempt to a VM of another domain. After a cut its fate is asked; it is never resent.
+    pub(super) async fn relay(&self, peer: Incarnation, start: &Start) -> Report {
+        let Some(link) = self.links.get(peer) else {
+            return Report::Unsent("no link to the peer".to_owned());
+        };
+        let adoption = Adoption {
+            name: start.name.clone(),
+            service: start.service.clone(),
+            payload: Arc::clone(&start.payload),
+            expected: start.expected,
+            repeatable: start.repeatable,
+            remaining: start.timeout,
+        };
+        match link.call(Call::Run { start: start.id, adoption }).await {
+            Ok(Reply::Report(report)) => report,
+            _ => self.fate(peer, start).await,
+        }
+    }
+
+    async fn fate(&self, peer: Incarnation, start: &Start) -> Report {
+        loop {
+            let Some(link) = self.links.wait_for(peer, FATE_PATIENCE).await else {
+                return Report::Lost("the peer that had the task can't be reached".to_owned());
+            };
+            match link.call(Call::Fate { start: start.id }).await {
+                Ok(Reply::Report(report)) => return report,
+                Ok(_) => return Report::Lost("the peer's answer makes no sense".to_owned()),
+                Err(_) => {
+                    Timer::after(Millis(10).duration()).await;
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/serve/mod.rs
@@ -0,0 +1,10 @@
+//! A running VM: it ties the decisions to the sockets.
+
+mod calls;
+mod core;
+mod node;
+mod routes;
+mod start;
+
+pub use node::Node;
+pub use start::{Error, dev, run};
--- /dev/null
+++ b/src/serve/node.rs
@@ -0,0 +1,349 @@
+//! One VM: what its tasks share.
+
+use std::collections::BTreeSet;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use arc_swap::ArcSwap;
+use smol::Timer;
+use smol::channel::{self, Receiver, Sender};
+use smol::future::FutureExt as _;
+
+use crate::clock::{Clock, Millis};
+use crate::config::Document;
+use crate::dispatch::{Engine, Event, Member, Place, Report, Start};
+use crate::job::{Execution, Failure, Incarnation, Key, Outcome, Prefix, Reason, Spec, Windows};
+use crate::peer::{Handler, Links};
+use crate::runtime;
+use crate::settings::Settings;
+use crate::target::{self, Pools};
+use crate::wire::{Call, Note, Reply, Seen};
+
+use super::core::{Core, Ticket, Work};
+
+/// How long a caller's VM waits for a link to the VM that its key names.
+const LINK_PATIENCE: Millis = Millis(3000);
+
+/// What an answer may take beyond the job's own timeout before it counts as lost.
+const ANSWER_SLACK: Millis = Millis(2000);
+
+/// The longest time between two ticks.
+const TICK_MAX: Millis = Millis(1000);
+
+/// A running VM.
+#[derive(Debug)]
+pub struct Node {
+    /// What differs from VM to VM.
+    pub settings: Settings,
+    /// Its run.
+    pub incarnation: Incarnation,
+    /// Its links to the other VMs.
+    pub links: Arc<Links>,
+    clock: Clock,
+    core: Mutex<Core>,
+    pools: Pools,
+    document: ArcSwap<Document>,
+    draining: AtomicBool,
+    /// When the ticker will tick next, in milliseconds of the clock.
+    next_tick: AtomicU64,
+    earlier: (Sender<()>, Receiver<()>),
+}
+
+impl Node {
+    /// A VM that has no configuration and no links yet.
+    pub fn new(settings: Settings, incarnation: Incarnation, links: Arc<Links>) -> Self {
+        let clock = Clock::start();
+        let seed = fastrand::u64(..);
+        let engine = Engine::new(incarnation, &settings.domain, seed);
+        let document = Document::default();
+        let core = Core::new(engine, windows_of(&document));
+        Self {
+            settings,
+            incarnation,
+            links,
+            clock,
+            core: Mutex::new(core),
+            pools: Pools::new(clock),
+            document: ArcSwap::from_pointee(document),
+            draining: AtomicBool::new(false),
+            next_tick: AtomicU64::new(0),
+            earlier: channel::bounded(1),
+        }
+    }
+
+    /// The configuration in force.
+    pub fn document(&self) -> Arc<Document> {
+        self.document.load_full()
+    }
+
+    /// Whether the VM is being stopped.
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Relaxed)
+    }
+
+    /// Whether the VM takes new jobs.
+    pub fn is_ready(&self) -> bool {
+        !self.is_draining() && !self.document.load().targets.is_empty()
+    }
+
+    /// A prefix for new keys, and how long it may be used for them.
+    pub fn prefix(&self) -> (Prefix, Millis) {
+        let window = self.lock().table().window();
+        let rules = windows_of(&self.document.load());
+        (Prefix { incarnation: self.incarnation, window }, rules.length * rules.kept.div_ceil(2))
+    }
+
+    /// Puts a configuration in force.
+    pub fn configure(self: &Arc<Self>, document: Arc<Document>) {
+        self.pools.configure(&document);
+        self.lock().keep(windows_of(&document));
+        self.document.store(Arc::clone(&document));
+        self.handle(Event::Configure(document));
+    }
+
+    /// Notes which targets the platform marks as leaving.
+    pub fn leaving(self: &Arc<Self>, targets: BTreeSet<String>) {
+        self.handle(Event::Leaving(Arc::new(targets)));
+    }
+
+    /// Gives one event to the engine and does what it says.
+    pub fn handle(self: &Arc<Self>, event: Event) {
+        self.with_core(|core, now, work| core.handle(now, event, work));
+    }
+
+    /// Runs or joins a job and waits for its outcome, wherever its coordinator is.
+    pub async fn submit(self: &Arc<Self>, key: &Key, spec: Spec) -> Arc<Outcome> {
+        if key.prefix.incarnation == self.incarnation {
+            return self.coordinate(key, spec).await;
+        }
+        let patience = self.patience(&spec);
+        let call = Call::Submit { key: key.clone(), spec };
+        match self.ask(key, call, patience).await {
+            Ok(Reply::Outcome(outcome)) => Arc::new(outcome),
+            Ok(_) => Arc::new(Outcome::Failed(unreachable_coordinator())),
+            Err(failure) => Arc::new(Outcome::Failed(failure)),
+        }
+    }
+
+    /// What is known of a key, wherever its coordinator is.
+    pub async fn look(self: &Arc<Self>, key: &Key) -> Result<Seen, Failure> {
+        if key.prefix.incarnation == self.incarnation {
+            return Ok(self.lock().look(key));
+        }
+        self.ask_seen(key, Call::Look { key: key.clone() }).await
+    }
+
+    /// Cancels the job of a key, wherever its coordinator is.
+    pub async fn cancel(self: &Arc<Self>, key: &Key) -> Result<Seen, Failure> {
+        if key.prefix.incarnation == self.incarnation {
+            return Ok(self.cancel_own(key));
+        }
+        self.ask_seen(key, Call::Cancel { key: key.clone() }).await
+    }
+
+    /// Runs or joins a job of a key that names this VM.
+    pub async fn coordinate(self: &Arc<Self>, key: &Key, spec: Spec) -> Arc<Outcome> {
+        let spec = Arc::new(spec);
+        let ticket = self.with_core(|core, now, work| core.submit(now, key, &spec, work));
+        match ticket {
+            Ticket::Ready(outcome) => outcome,
+            Ticket::Wait(outcome) => outcome.recv().await.unwrap_or_else(|_| {
+                let detail = "the VM gave the job up; submit again with the same key";
+                let failure = Failure::new(Reason::Unavailable, Execution::Unknown, detail);
+                Arc::new(Outcome::Failed(failure))
+            }),
+        }
+    }
+
+    /// Cancels the job of a key that names this VM.
+    pub fn cancel_own(self: &Arc<Self>, key: &Key) -> Seen {
+        self.with_core(|core, now, work| core.cancel(now, key, work))
+    }
+
+    /// What this VM knows of a key that names it.
+    pub fn look_own(&self, key: &Key) -> Seen {
+        self.lock().look(key)
+    }
+
+    /// Takes over a task of another domain, or asks for its fate, and waits for its end.
+    pub async fn adopt(self: &Arc<Self>, event: Event) -> Report {
+        let (Event::Adopt { adopted, .. } | Event::Fate { adopted }) = event else {
+            return Report::Unsent("not a task of another domain".to_owned());
+        };
+        let report = self.with_core(|core, now, work| core.adopt(now, adopted, event, work));
+        let gone = |_| Report::Lost("the VM gave the task up".to_owned());
+        report.recv().await.unwrap_or_else(gone)
+    }
+
+    /// Tells the engine which VMs can be reached.
+    pub fn refresh_members(self: &Arc<Self>) {
+        let own = Member {
+            incarnation: self.incarnation,
+            domain: self.settings.domain.clone(),
+            reachable: !self.is_draining(),
+        };
+        let up = self.links.up();
+        let others = up.values().map(|link| Member {
+            incarnation: link.hello.incarnation,
+            domain: link.hello.domain.clone(),
+            reachable: true,
+        });
+        let mut members = others.collect::<Vec<_>>();
+        members.push(own);
+        members.sort_unstable_by_key(|member| member.incarnation);
+        self.handle(Event::Members(members.into()));
+    }
+
+    /// Keeps the engine's time going.
+    pub async fn tick(self: Arc<Self>) {
+        loop {
+            let now = self.clock.now();
+            let wake = self.lock().engine().wake().unwrap_or(now + TICK_MAX);
+            let wake = wake.min(now + TICK_MAX);
+            self.next_tick.store(wake.0, Ordering::Relaxed);
+            let timer = async {
+                Timer::after((wake - now).duration()).await;
+            };
+            let earlier = async {
+                let _ = self.earlier.1.recv().await;
+            };
+            timer.or(earlier).await;
+            self.with_core(|core, now, work| {
+                core.advance(now);
+                core.handle(now, Event::Tick, work);
+            });
+        }
+    }
+
+    /// Stops taking new jobs, for good.
+    pub fn drain(&self) {
+        self.draining.store(true, Ordering::Relaxed);
+        self.lock().close();
+    }
+
+    /// The number of jobs that have no outcome yet.
+    pub fn running(&self) -> usize {
+        self.lock().running()
+    }
+
+    /// The state behind the lock.
+    pub fn lock(&self) -> MutexGuard<'_, Core> {
+        self.core.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn with_core<T>(self: &Arc<Self>, change: impl FnOnce(&mut Core, Millis, &mut Work) -> T) -> T {
+        let mut work = Work::default();
+        let (result, wake) = {
+            let mut core = self.lock();
+            let result = change(&mut core, self.clock.now(), &mut work);
+            (result, core.engine().wake())
+        };
+        if wake.is_some_and(|wake| wake.0 < self.next_tick.load(Ordering::Relaxed)) {
+            let _ = self.earlier.0.try_send(());
+        }
+        self.perform(work);
+        result
+    }
+
+    fn perform(self: &Arc<Self>, work: Work) {
+        for (to, message) in work.tells {
+            if let Some(link) = self.links.get(to) {
+                link.note(Note::Slots(message));
+            }
+        }
+        for start in work.starts {
+            let node = Arc::clone(self);
+            runtime::spawn(async move {
+                let report = node.attempt(&start).await;
+                node.handle(Event::Report { start: start.id, report });
+            })
+            .detach();
+        }
+    }
+
+    async fn attempt(&self, start: &Start) -> Report {
+        match &start.place {
+            Place::Target(target) => {
+                let Some(pool) = self.pools.get(target) else {
+                    return Report::Unsent("the target is no longer configured".to_owned());
+                };
+                pool.run(start, self.target_rules()).await
+            }
+            Place::Peer(peer) => self.relay(*peer, start).await,
+        }
+    }
+
+    const fn target_rules(&self) -> target::Rules {
+        let targets = &self.settings.targets;
+        target::Rules { connect_timeout: targets.connect_timeout, prove_after: targets.prove_after }
+    }
+
+    /// How long the answer to a submission is waited for.
+    fn patience(&self, spec: &Spec) -> Millis {
+        let document = self.document.load();
+        let service = document.services.iter().find(|service| service.name == spec.service);
+        let most = document.limits.timeout_max;
+        let asked = spec.timeout.or_else(|| service.map(|service| service.timeout)).unwrap_or(most);
+        asked.min(most) + ANSWER_SLACK
+    }
+
+    async fn ask_seen(&self, key: &Key, call: Call) -> Result<Seen, Failure> {
+        match self.ask(key, call, LINK_PATIENCE + ANSWER_SLACK).await? {
+            Reply::Seen(seen) => Ok(seen),
+            _ => Err(unreachable_coordinator()),
+        }
+    }
+
+    /// Asks the VM that a key names. The calls are idempotent, so a cut link is followed by another try.
+    async fn ask(&self, key: &Key, call: Call, patience: Millis) -> Result<Reply, Failure> {
+        let asking = async {
+            loop {
+                let link = self.links.wait_for(key.prefix.incarnation, LINK_PATIENCE).await;
+                let link = link.ok_or_else(unreachable_coordinator)?;
+                if let Ok(reply) = link.call(call.clone()).await {
+                    return Ok(reply);
+                }
+            }
+        };
+        let late = async {
+            Timer::after(patience.duration()).await;
+            Err(unreachable_coordinator())
+        };
+        asking.or(late).await
+    }
+}
+
+/// How long the answer of the VM that the key names is waited for, and what is said without it.
+fn unreachable_coordinator() -> Failure {
+    let detail = "the VM that the key names can't be reached; submit again later with the same key";
+    Failure::new(Reason::Unavailable, Execution::Unknown, detail).retry_after(Millis::from_secs(1))
+}
+
+fn windows_of(document: &Document) -> Windows {
+    let limits = &document.limits.windows;
+    Windows {
+        length: limits.length,
+        kept: limits.kept,
+        keys_max: limits.keys_max,
+        answer_bytes_max: usize::try_from(limits.answers_max).unwrap_or(usize::MAX),
+    }
+}
+
+/// What a peer's note or call does here.
+impl Handler for Node {
+    fn call(
+        self: Arc<Self>,
+        from: Incarnation,
+        call: Call,
+    ) -> std::pin::Pin<Box<dyn Future<Output = Reply> + Send>> {
+        Box::pin(super::calls::answer(self, from, call))
+    }
+
+    fn note(self: Arc<Self>, from: Incarnation, note: Note) {
+        super::calls::take(&self, from, note);
+    }
+
+    fn changed(self: Arc<Self>) {
+        self.refresh_members();
+    }
+}
--- /dev/null
+++ b/src/serve/routes.rs
@@ -0,0 +1,233 @@
+//! What callers may ask over HTTP.
+
+use std::fmt::Write as _;
+use std::pin::Pin;
+use std::sync::Arc;
+
+use http_types::{Method, Request, Response, StatusCode};
+use serde_json::json;
+use smol::Timer;
+use smol::future::FutureExt as _;
+use smol::io::AsyncReadExt as _;
+
+use crate::http::{problem, server};
+use crate::job::{Answer, Execution, Failure, Key, Outcome, Reason, Spec};
+use crate::wire::Seen;
+
+use super::node::Node;
+
+/// The header that carries a job's key.
+const KEY_HEADER: &str = "Idempotency-Key";
+
+/// The path below which the jobs are.
+const JOBS: &str = "/v1/jobs/";
+
+impl server::Handler for Node {
+    fn answer(self: Arc<Self>, request: Request) -> Pin<Box<dyn Future<Output = Response> + Send>> {
+        Box::pin(async move {
+            let answered = route(&self, request).await;
+            let mut response = answered.unwrap_or_else(|failure| problem::response(&failure));
+            if self.is_draining() {
+                response.insert_header("Connection", "close");
+            }
+            response
+        })
+    }
+
+    fn body_max(&self) -> u64 {
+        self.document().limits.body_max
+    }
+}
+
+async fn route(node: &Arc<Node>, request: Request) -> Result<Response, Failure> {
+    let path = request.url().path().to_owned();
+    match (request.method(), path.as_str()) {
+        (Method::Post, "/v1/keys") => prefix(node),
+        (Method::Post, "/v1/jobs") => submit(node, request).await,
+        (Method::Get, "/healthz") => Ok(text(StatusCode::Ok, "ok\n")),
+        (Method::Get, "/readyz") => Ok(ready(node)),
+        (Method::Get, "/v1/status") => Ok(json(StatusCode::Ok, status(node).to_string())),
+        (Method::Get, job) if job.starts_with(JOBS) => look(node, &job[JOBS.len()..]).await,
+        (Method::Delete, job) if job.starts_with(JOBS) => cancel(node, &job[JOBS.len()..]).await,
+        (_, "/v1/keys" | "/v1/jobs" | "/healthz" | "/readyz" | "/v1/status") => {
+            let detail = "the path does not take this method; see docs/API.md";
+            Err(Failure::new(Reason::Method, Execution::NotRun, detail))
+        }
+        _ => {
+            let detail = "there is no such path; see docs/API.md";
+            Err(Failure::new(Reason::Missing, Execution::NotRun, detail))
+        }
+    }
+}
+
+fn prefix(node: &Node) -> Result<Response, Failure> {
+    if node.is_draining() {
+        let detail = "this VM is stopping; ask another VM";
+        return Err(Failure::new(Reason::Unavailable, Execution::NotRun, detail));
+    }
+    let (prefix, fresh) = node.prefix();
+    let body = json!({ "prefix": prefix, "fresh_for_ms": fresh });
+    Ok(json(StatusCode::Ok, body.to_string()))
+}
+
+async fn submit(node: &Arc<Node>, mut request: Request) -> Result<Response, Failure> {
+    let key = request.header(KEY_HEADER).map(|values| values.last().as_str().to_owned());
+    let key = key.ok_or_else(|| {
+        let detail = "the header Idempotency-Key is missing; take a prefix from POST /v1/keys";
+        Failure::new(Reason::Invalid, Execution::NotRun, detail)
+    })?;
+    let body = read_body(node, &mut request).await?;
+    let tasks_max = node.document().limits.tasks_max;
+    let spec = Spec::parse(&body, tasks_max).map_err(|error| invalid(&error))?;
+    let key = parse_key(&key)?;
+    let outcome = node.submit(&key, spec).await;
+    Ok(answer(&key, &outcome))
+}
+
+async fn look(node: &Arc<Node>, key: &str) -> Result<Response, Failure> {
+    let key = parse_key(key)?;
+    match node.look(&key).await? {
+        Seen::Never => {
+            let detail = "no submission with this key has arrived; DELETE it to make sure that none will run";
+            Err(Failure::new(Reason::Missing, Execution::NotRun, detail))
+        }
+        Seen::Running | Seen::Cancelling => Ok(state(StatusCode::Accepted, &key, "running")),
+        Seen::Ended(outcome) => Ok(answer(&key, &outcome)),
+    }
+}
+
+async fn cancel(node: &Arc<Node>, key: &str) -> Result<Response, Failure> {
+    let key = parse_key(key)?;
+    match node.cancel(&key).await? {
+        Seen::Cancelling | Seen::Running | Seen::Never => {
+            Ok(state(StatusCode::Accepted, &key, "cancelling"))
+        }
+        Seen::Ended(Outcome::Complete(_)) => {
+            let detail = "the job is complete; GET it to read its answers";
+            Err(Failure::new(Reason::Cancelled, Execution::Ran, detail))
+        }
+        Seen::Ended(Outcome::Failed(failure)) => {
+            let detail = format!("the job has ended: {}", failure.detail);
+            Err(Failure::new(Reason::Cancelled, failure.execution, detail))
+        }
+    }
+}
+
+fn ready(node: &Node) -> Response {
+    if node.is_ready() {
+        text(StatusCode::Ok, "ready\n")
+    } else {
+        text(StatusCode::ServiceUnavailable, "not ready for new jobs; ask another VM\n")
+    }
+}
+
+/// What `gypsumkeel status` shows.
+fn status(node: &Node) -> serde_json::Value {
+    let up = node.links.up();
+    let peers = up.values().map(|link| {
+        json!({ "vm": link.hello.vm, "domain": link.hello.domain, "incarnation": link.hello.incarnation })
+    });
+    let document = node.document();
+    let targets = document.targets.iter().map(|target| {
+        json!({ "id": target.id, "domain": target.domain, "slots": target.slots, "leaving": target.leaving })
+    });
+    let (counts, keys, window) = {
+        let core = node.lock();
+        (core.engine().counts(), core.table().len(), core.table().window())
+    };
+    json!({
+        "vm": node.settings.vm,
+        "domain": node.settings.domain,
+        "region": node.settings.region,
+        "incarnation": node.incarnation,
+        "draining": node.is_draining(),
+        "window": window,
+        "keys": keys,
+        "counts": counts,
+        "peers": peers.collect::<Vec<_>>(),
+        "targets": targets.collect::<Vec<_>>(),
+    })
+}
+
+async fn read_body(node: &Node, request: &mut Request) -> Result<Vec<u8>, Failure> {
+    let most = node.document().limits.body_max;
+    let large = || {
+        let detail = format!("the body is over {most} bytes; split the job");
+        Failure::new(Reason::Large, Execution::NotRun, detail)
+    };
+    let declared = request.len();
+    if declared.is_some_and(|length| length as u64 > most) {
+        return Err(large());
+    }
+    let source = request.take_body();
+    let mut body = Vec::with_capacity(declared.unwrap_or(0));
+    let reading = async {
+        let read = source.take(most + 1).read_to_end(&mut body).await;
+        read.map_err(|error| {
+            let detail = format!("the body can't be read: {error}; send it again");
+            Failure::new(Reason::Invalid, Execution::NotRun, detail)
+        })
+    };
+    let limit = node.settings.callers.body_timeout;
+    let late = async {
+        Timer::after(limit.duration()).await;
+        let detail = format!("the body did not arrive within {limit}; send it faster");
+        Err(Failure::new(Reason::Slow, Execution::NotRun, detail))
+    };
+    let read = reading.or(late).await?;
+    if read as u64 > most {
+        return Err(large());
+    }
+    if declared.is_some_and(|length| length != read) {
+        let detail = "the body ended before its length; send it again";
+        return Err(Failure::new(Reason::Invalid, Execution::NotRun, detail));
+    }
+    Ok(body)
+}
+
+fn parse_key(text: &str) -> Result<Key, Failure> {
+    text.parse().map_err(|error| invalid(&error))
+}
+
+fn invalid(error: &dyn std::error::Error) -> Failure {
+    Failure::new(Reason::Invalid, Execution::NotRun, error.to_string())
+}
+
+fn answer(key: &Key, outcome: &Outcome) -> Response {
+    match outcome {
+        Outcome::Complete(answers) => json(StatusCode::Ok, complete(key, answers)),
+        Outcome::Failed(failure) => problem::response(failure),
+    }
+}
+
+/// The answers are JSON texts already, so they are joined as they are.
+fn complete(key: &Key, answers: &[Answer]) -> String {
+    let size = answers.iter().map(|answer| answer.len() + 1).sum::<usize>();
+    let mut body = String::with_capacity(size + 128);
+    let key = serde_json::Value::String(key.to_string());
+    let _ = write!(body, r#"{{"key":{key},"state":"complete","answers":["#);
+    for (index, answer) in answers.iter().enumerate() {
+        if index > 0 {
+            body.push(',');
+        }
+        body.push_str(answer);
+    }
+    body.push_str("]}");
+    body
+}
+
+fn state(status: StatusCode, key: &Key, state: &str) -> Response {
+    json(status, json!({ "key": key, "state": state }).to_string())
+}
+
+fn json(status: StatusCode, body: String) -> Response {
+    let mut response = text(status, body);
+    response.insert_header("Content-Type", "application/json");
+    response
+}
+
+fn text(status: StatusCode, body: impl Into<String>) -> Response {
+    let mut response = Response::new(status);
+    response.set_body(body.into());
+    response
+}
--- /dev/null
+++ b/src/wire/frame.rs
@@ -0,0 +1,185 @@
+//! Frames, their coding and its errors.
+
+use std::fmt;
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::dispatch::{Adopted, Adoption, Report, SlotMessage, StartId};
+use crate::job::{Incarnation, Key, Outcome, Spec};
+
+/// The version of the frames; a link is refused to a VM that speaks another.
+pub const VERSION: u32 = 1;
+
+/// The largest frame, in bytes.
+pub const FRAME_MAX_BYTES: usize = 16 << 20;
+
+/// One message between two VMs.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum Frame {
+    /// The first frame each way.
+    Hello(Hello),
+    /// A heartbeat, answered by another.
+    Beat,
+    /// A question that will be answered on the same link.
+    Call {
+        /// Its number on this link.
+        id: u64,
+        /// The question.
+        call: Call,
+    },
+    /// The answer to a question.
+    Reply {
+        /// The question's number.
+        id: u64,
+        /// The answer.
+        reply: Reply,
+    },
+    /// Something the other VM should know.
+    Note(Note),
+}
+
+/// Who speaks.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Hello {
+    /// The version of the frames; see [`VERSION`].
+    pub version: u32,
+    /// The VM's name.
+    pub vm: String,
+    /// Its run.
+    pub incarnation: Incarnation,
+    /// Its failure domain.
+    pub domain: String,
+    /// Where its peers reach it.
+    pub peers: SocketAddr,
+}
+
+/// A question to another VM.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum Call {
+    /// Run or join the job of a key that names the other VM.
+    Submit {
+        /// The key.
+        key: Key,
+        /// The job.
+        spec: Spec,
+    },
+    /// Tell what is known of a key.
+    Look {
+        /// The key.
+        key: Key,
+    },
+    /// Cancel the job of a key.
+    Cancel {
+        /// The key.
+        key: Key,
+    },
+    /// Run a task of the caller's, once.
+    Run {
+        /// The caller's number for the attempt.
+        start: StartId,
+        /// The task.
+        adoption: Adoption,
+    },
+    /// Tell how a task ended; one that has not started never will.
+    Fate {
+        /// The caller's number for the attempt.
+        start: StartId,
+    },
+}
+
+impl Call {
+    /// The adopted task that a call from `coordinator` is about.
+    pub fn adopted(coordinator: Incarnation, start: StartId) -> Adopted {
+        Adopted { coordinator, start }
+    }
+}
+
+/// What a VM knows of a key that names it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Seen {
+    /// No submission with this key has arrived.
+    Never,
+    /// The job has no outcome yet.
+    Running,
+    /// The job has ended, or the key is refused.
+    Ended(Outcome),
+    /// Cancelled, or to be cancelled.
+    Cancelling,
+}
+
+/// The answer to a [`Call`].
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum Reply {
+    /// To `Submit`.
+    Outcome(Outcome),
+    /// To `Look` and `Cancel`.
+    Seen(Seen),
+    /// To `Run` and `Fate`.
+    Report(Report),
+}
+
+/// News that needs no answer.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum Note {
+    /// On the slots of the domain's targets.
+    Slots(SlotMessage),
+    /// Where other VMs listen for peers.
+    Peers(Vec<SocketAddr>),
+}
+
+impl Frame {
+    /// The frame's bytes.
+    pub fn encode(&self) -> Result<Vec<u8>, Error> {
+        let mut bytes = Vec::with_capacity(256);
+        ciborium::into_writer(self, &mut bytes)
+            .map_err(|error| Error::Encode(error.to_string()))?;
+        if bytes.len() > FRAME_MAX_BYTES {
+            return Err(Error::Long(bytes.len()));
+        }
+        Ok(bytes)
+    }
+
+    /// Reads a frame that fills `bytes` exactly.
+    pub fn decode(bytes: &[u8]) -> Result<Self, Error> {
+        if bytes.len() > FRAME_MAX_BYTES {
+            return Err(Error::Long(bytes.len()));
+        }
+        let mut rest = bytes;
+        let frame =
+            ciborium::from_reader(&mut rest).map_err(|error| Error::Decode(error.to_string()))?;
+        if !rest.is_empty() {
+            return Err(Error::Decode(format!("{} bytes follow the frame", rest.len())));
+        }
+        Ok(frame)
+    }
+}
+
+/// Why bytes are no frame, or a frame no bytes.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Error {
+    /// It can't be written.
+    Encode(String),
+    /// It can't be read.
+    Decode(String),
+    /// It is longer than [`FRAME_MAX_BYTES`]; holds its length.
+    Long(usize),
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Encode(why) => {
+                write!(f, "the frame can't be written: {why}; report it as a fault")
+            }
+            Self::Decode(why) => {
+                write!(f, "the frame can't be read: {why}; run the same release on all VMs")
+            }
+            Self::Long(bytes) => {
+                write!(f, "a frame of {bytes} bytes is over the limit; lower limits.body_max")
+            }
+        }
+    }
+}
+
+impl std::error::Error for Error {}
