Check the job aggregate and the table of keys over arbitrary events

Each property runs 3000 fixed seeds against a small model kept in the test. The first model of the table held at most 24 keys in four windows of six and so never filled it; its limit is 10 now.

--- /dev/null
+++ b/tests/properties.rs
@@ -0,0 +1,255 @@
+//! Properties of the pure parts over arbitrary inputs: the job aggregate, the table of keys, and
+//! requests as bytes.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use arbtest::arbitrary::{Result, Unstructured};
+use arbtest::arbtest;
+use gypsumkeel::clock::Millis;
+use gypsumkeel::job::{
+    Admission, Execution, Failure, Fingerprint, Job, Key, Outcome, Reason, Spec, State, Table,
+    Task, Windows,
+};
+
+/// The cases of each property; the same ones on every run.
+const CASES: u64 = 3000;
+
+/// The most bytes of choices in one case.
+const SIZE_MAX: u64 = 400;
+
+/// Prints the seed of the case that failed.
+struct Seed(u64);
+
+impl Drop for Seed {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            eprintln!("failed with seed {:#018x}", self.0);
+        }
+    }
+}
+
+/// Checks a property over [`CASES`] fixed seeds. A seed holds the size of its input in its low half.
+fn check_all(mut property: impl FnMut(&mut Unstructured<'_>) -> Result<()>) {
+    for case in 1..=CASES {
+        let seed = Seed((case.wrapping_mul(0x9e37_79b9) << 32) | (1 + case % SIZE_MAX));
+        arbtest(&mut property).seed(seed.0).run();
+    }
+}
+
+fn spec(tasks: usize, repeatable: bool) -> Arc<Spec> {
+    let task = Task { payload: "{}".into(), expected: None };
+    Arc::new(Spec {
+        service: "holds".into(),
+        team: String::new(),
+        repeatable,
+        timeout: None,
+        tasks: vec![task; tasks],
+    })
+}
+
+/// What a test knows of one task from outside the aggregate.
+#[derive(Clone, Default)]
+struct Seen {
+    open: u32,
+    started: u32,
+    first_answer: Option<Arc<str>>,
+}
+
+#[test]
+fn a_job_is_whole_or_failed_and_true_to_its_starts() {
+    check_all(|u| {
+        let (count, repeatable) = (u.int_in_range(1..=4)?, u.arbitrary()?);
+        let mut job = Job::new(spec(count, repeatable), Millis(1000));
+        let mut seen = vec![Seen::default(); count];
+        while !u.is_empty() {
+            let before = job.outcome().cloned();
+            step(u, &mut job, &mut seen)?;
+            check(&job, &seen, before.as_ref());
+        }
+        Ok(())
+    });
+}
+
+fn step(u: &mut Unstructured<'_>, job: &mut Job, seen: &mut [Seen]) -> Result<()> {
+    let index = u.choose_index(seen.len())?;
+    let task = &mut seen[index];
+    match u.int_in_range(0..=20)? {
+        0..=7 if job.may_send(index) => {
+            job.send(index);
+            task.open += 1;
+            task.started += 1;
+        }
+        8..=12 if task.open > 0 => {
+            let answer = Arc::<str>::from(format!("{index}:{}", task.started));
+            if job.outcome().is_none() {
+                task.first_answer.get_or_insert_with(|| Arc::clone(&answer));
+            }
+            task.open -= 1;
+            job.done(index, answer);
+        }
+        13..=15 if task.open > 0 => {
+            task.open -= 1;
+            task.started -= 1;
+            job.unstarted(index);
+        }
+        16..=18 if task.open > 0 => {
+            task.open -= 1;
+            job.failed(index, u.arbitrary()?, u.arbitrary()?, "broken");
+        }
+        19 if u.ratio(1, 8)? => job.cancel(),
+        20 if u.ratio(1, 8)? => job.expire(),
+        _ => {}
+    }
+    Ok(())
+}
+
+fn check(job: &Job, seen: &[Seen], before: Option<&Outcome>) {
+    for (index, task) in seen.iter().enumerate() {
+        assert_eq!(job.started(index), task.started);
+        assert!(job.spec().repeatable || task.started <= 1, "a second start");
+        assert!(!job.may_send(index) || job.outcome().is_none(), "a start after the end");
+        assert!(job.state(index) != State::Pending || task.open == 0);
+    }
+    assert_eq!(job.is_open(), seen.iter().any(|task| task.open > 0));
+    if before.is_some() {
+        assert_eq!(job.outcome(), before, "an outcome changed");
+        return;
+    }
+    match job.outcome() {
+        Some(Outcome::Complete(answers)) => {
+            let expected = seen.iter().map(|task| task.first_answer.clone().unwrap());
+            assert_eq!(*answers, expected.collect::<Vec<_>>());
+        }
+        Some(Outcome::Failed(failure)) => {
+            let ran = seen.iter().any(|task| task.started > 0);
+            assert_eq!(failure.execution == Execution::NotRun, !ran, "{failure:?}");
+        }
+        None => {}
+    }
+}
+
+const RULES: Windows = Windows { length: Millis(100), kept: 3, keys_max: 10, answer_bytes_max: 64 };
+
+/// What a test knows of one key from outside the table.
+#[derive(Default)]
+struct Known {
+    job: Option<u64>,
+    ended: bool,
+    /// Whether a caller was told that the job was not run.
+    not_run: bool,
+}
+
+#[test]
+fn a_key_starts_one_job_at_most_and_never_after_not_run() {
+    check_all(|u| {
+        let mut table = Table::new();
+        let mut known = HashMap::<(u64, String), Known>::new();
+        let (mut now, mut closed) = (Millis::ZERO, false);
+        while !u.is_empty() {
+            let window = u.int_in_range(0..=8)?;
+            let own = u.int_in_range(0..=5_u8)?.to_string();
+            let key = known.entry((window, own.clone())).or_default();
+            match u.int_in_range(0..=11)? {
+                0..=5 => {
+                    let fingerprint = Fingerprint([u8::from(u.ratio(1, 8)?); 16]);
+                    let admission = table.admit(window, &own, fingerprint, &RULES);
+                    check_admission(&admission, key, window, closed);
+                }
+                6 | 7 if key.job.is_some() && !key.ended => {
+                    key.ended = true;
+                    let failure = Failure::new(Reason::Limited, Execution::NotRun, "full");
+                    let outcome = if u.arbitrary()? {
+                        Outcome::Complete(vec!["an answer of some length".into()])
+                    } else {
+                        key.not_run = true;
+                        Outcome::Failed(failure)
+                    };
+                    table.end(window, &own, Arc::new(outcome), &RULES);
+                }
+                8 => {
+                    let fenced = table.fence(window, &own);
+                    assert!(!fenced || key.job.is_none(), "a started key was fenced");
+                    key.not_run |= fenced;
+                }
+                9 | 10 => {
+                    now = now + Millis(u.int_in_range(0..=60)?);
+                    let before = table.window();
+                    table.advance(now, &RULES);
+                    assert!(table.window() >= before, "the window moved back");
+                }
+                11 if u.ratio(1, 16)? => {
+                    table.close();
+                    closed = true;
+                }
+                _ => {}
+            }
+        }
+        Ok(())
+    });
+}
+
+fn check_admission(admission: &Admission, key: &mut Known, window: u64, closed: bool) {
+    match admission {
+        Admission::New(job) => {
+            assert!(key.job.is_none(), "window {window}: a second job for one key");
+            assert!(!key.not_run, "window {window}: started after not run");
+            assert!(!closed, "accepted by a closed table");
+            key.job = Some(*job);
+        }
+        Admission::Join(job) => assert!(key.job == Some(*job) && !key.ended),
+        Admission::Ended(outcome) => {
+            assert!(key.ended);
+            assert_eq!(matches!(**outcome, Outcome::Failed(_)), key.not_run);
+        }
+        Admission::Refused(failure) if failure.execution == Execution::NotRun => {
+            assert!(key.job.is_none() || key.not_run, "not run was said of {failure:?}");
+            key.not_run = true;
+        }
+        Admission::Refused(_) => {}
+    }
+}
+
+#[test]
+fn any_bytes_are_a_job_or_a_refusal() {
+    let body =
+        br#"{"service":"s","tasks":[{"payload":{"a":[1,"\u00e9"]},"expected_ms":80}],"x":1}"#;
+    check_all(|u| {
+        let mut bytes = body.to_vec();
+        for _ in 0..u.int_in_range(0..=4)? {
+            let at = u.choose_index(bytes.len())?;
+            match u.int_in_range(0..=2)? {
+                0 => bytes[at] = u.arbitrary()?,
+                1 => bytes.truncate(at.max(1)),
+                _ => bytes.insert(at, u.arbitrary()?),
+            }
+        }
+        match Spec::parse(&bytes, 10) {
+            Ok(spec) => {
+                let again = Spec::parse(&bytes, 10).unwrap();
+                assert_eq!(spec.fingerprint(), again.fingerprint());
+            }
+            Err(error) => assert!(error.to_string().contains(';'), "no remedy in {error}"),
+        }
+        let raw = u.bytes(u.len().min(64))?;
+        assert!(Spec::parse(raw, 10).is_err() || !raw.is_empty());
+        Ok(())
+    });
+}
+
+#[test]
+fn a_key_reads_back_from_its_text() {
+    let sample = "AAAAAAAAAAAAAAAAAAAAAQ.17.order/9";
+    check_all(|u| {
+        let mut text = sample.to_owned();
+        let at = u.choose_index(text.len())?;
+        let with =
+            if u.arbitrary()? { *u.choose(&['.', '+', '0', '=', ' '])? } else { u.arbitrary()? };
+        text.replace_range(at..=at, &with.to_string());
+        if let Ok(key) = text.parse::<Key>() {
+            assert!(Key::is_text(&text));
+            assert_eq!(key.to_string().parse(), Ok(key));
+        }
+        Ok(())
+    });
+}
