--- a/src/peer/links.rs
+++ b/src/peer/links.rs
@@ -7,6 +7,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 
 use arc_swap::ArcSwap;
+use event_listener::Event;
 use smol::Timer;
 use smol::channel::{self, Sender};
 use smol::future::FutureExt as _;
@@ -64,32 +65,7 @@
     rules: Rules,
     up: ArcSwap<BTreeMap<Incarnation, Arc<Link>>>,
     dialled: Mutex<HashSet<SocketAddr>>,
-    changed: event::Event,
-}
-
-/// A condition that tasks can wait for.
-mod event {
-    use std::sync::{Mutex, PoisonError};
-
-    use smol::channel::{self, Receiver, Sender};
-
-    /// Wakes all tasks that wait.
-    #[derive(Debug, Default)]
-    pub struct Event(Mutex<Vec<Sender<()>>>);
-
-    impl Event {
-        /// A receiver that ends at the next [`Event::notify`].
-        pub fn listen(&self) -> Receiver<()> {
-            let (sender, receiver) = channel::bounded(1);
-            self.0.lock().unwrap_or_else(PoisonError::into_inner).push(sender);
-            receiver
-        }
-
-        /// Wakes everybody who listens.
-        pub fn notify(&self) {
-            self.0.lock().unwrap_or_else(PoisonError::into_inner).clear();
-        }
-    }
+    changed: Event,
 }
 
 impl Links {
@@ -100,7 +76,7 @@
             rules,
             up: ArcSwap::default(),
             dialled: Mutex::default(),
-            changed: event::Event::default(),
+            changed: Event::new(),
         }
     }
 
@@ -127,7 +103,7 @@
                 if let Some(link) = self.get(incarnation) {
                     return Some(link);
                 }
-                let _ = listener.recv().await;
+                listener.await;
             }
         };
         let late = async {
@@ -252,7 +228,7 @@
             change(&mut up);
             up
         });
-        self.changed.notify();
+        self.changed.notify(usize::MAX);
         Arc::clone(handler).changed();
     }
 }
