Wait at a stop for every answer that is still owed

A drain ended when the last own job had an outcome, before its answer was written to the caller or to the VM that passed it on. Requests in progress, tasks of other domains and replies not yet flushed count as well now. Found by reading; no test yet.

--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -32,6 +32,25 @@
     pub head_timeout: Millis,
 }
 
+/// What a server is doing.
+#[derive(Debug, Default)]
+pub struct Traffic {
+    open: AtomicUsize,
+    busy: AtomicUsize,
+}
+
+impl Traffic {
+    /// The connections.
+    pub fn open(&self) -> usize {
+        self.open.load(Ordering::Relaxed)
+    }
+
+    /// The requests whose answers are not written yet.
+    pub fn busy(&self) -> usize {
+        self.busy.load(Ordering::Relaxed)
+    }
+}
+
 /// What answers requests.
 pub trait Handler: fmt::Debug + Send + Sync {
     /// Answers one request.
@@ -45,9 +64,9 @@
 pub async fn serve(
     listener: TcpListener,
     rules: Rules,
+    traffic: Arc<Traffic>,
     handler: Arc<dyn Handler>,
 ) -> io::Result<()> {
-    let open = Arc::new(AtomicUsize::new(0));
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -56,15 +75,15 @@
         };
         drop(stream.set_nodelay(true));
         let handler = Arc::clone(&handler);
-        let open = Arc::clone(&open);
+        let traffic = Arc::clone(&traffic);
         runtime::spawn(async move {
-            let number = open.fetch_add(1, Ordering::Relaxed);
+            let number = traffic.open.fetch_add(1, Ordering::Relaxed);
             if number < rules.connections_max {
-                converse(stream, rules, handler).await;
+                converse(stream, rules, &traffic, handler).await;
             } else {
                 turn_away(stream).await;
             }
-            open.fetch_sub(1, Ordering::Relaxed);
+            traffic.open.fetch_sub(1, Ordering::Relaxed);
         })
         .detach();
     }
@@ -84,14 +103,21 @@
     drop(stream.write_all(&problem::raw(&failure)).await);
 }
 
-async fn converse(stream: TcpStream, rules: Rules, handler: Arc<dyn Handler>) {
+async fn converse(
+    stream: TcpStream,
+    rules: Rules,
+    traffic: &Arc<Traffic>,
+    handler: Arc<dyn Handler>,
+) {
     let asked = Arc::new(AtomicBool::new(false));
     let metered = Metered { stream: stream.clone(), left: Arc::new(AtomicU64::new(0)) };
     let endpoint = {
         let asked = Arc::clone(&asked);
         let handler = Arc::clone(&handler);
+        let traffic = Arc::clone(traffic);
         move |request| {
             asked.store(true, Ordering::Relaxed);
+            traffic.busy.fetch_add(1, Ordering::Relaxed);
             let answer = Arc::clone(&handler).answer(request);
             async move { Ok(answer.await) }
         }
@@ -108,7 +134,11 @@
             }
             Ok(ConnectionStatus::Close)
         };
-        match server.accept_one().or(late).await {
+        let end = server.accept_one().or(late).await;
+        if asked.load(Ordering::Relaxed) {
+            traffic.busy.fetch_sub(1, Ordering::Relaxed);
+        }
+        match end {
             Ok(ConnectionStatus::KeepAlive) => {}
             Ok(ConnectionStatus::Close) => break,
             Err(error) => {
--- a/src/peer/links.rs
+++ b/src/peer/links.rs
@@ -4,7 +4,8 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError, Weak};
 
 use arc_swap::ArcSwap;
 use event_listener::Event;
@@ -66,6 +67,8 @@
     up: ArcSwap<BTreeMap<Incarnation, Arc<Link>>>,
     dialled: Mutex<HashSet<SocketAddr>>,
     changed: Event,
+    /// Answers not yet sent, by link that another VM dialled.
+    owed: Mutex<Vec<Weak<AtomicUsize>>>,
 }
 
 impl Links {
@@ -77,6 +80,7 @@
             up: ArcSwap::default(),
             dialled: Mutex::default(),
             changed: Event::new(),
+            owed: Mutex::default(),
         }
     }
 
@@ -113,6 +117,13 @@
         found.or(late).await
     }
 
+    /// The answers that other VMs still wait for.
+    pub fn owed(&self) -> usize {
+        let mut owed = self.owed.lock().unwrap_or_else(PoisonError::into_inner);
+        owed.retain(|count| count.strong_count() > 0);
+        owed.iter().filter_map(Weak::upgrade).map(|count| count.load(Ordering::Relaxed)).sum()
+    }
+
     /// Dials an address, and keeps a link to it, unless that is being done already.
     pub fn know(self: &Arc<Self>, address: SocketAddr, handler: &Arc<dyn Handler>) {
         let mut dialled = self.dialled.lock().unwrap_or_else(PoisonError::into_inner);
@@ -131,13 +142,15 @@
         sink.send(&Frame::Hello(self.own.clone())).await?;
         let hello = within(self.rules.patience, receive_hello(&mut source)).await?;
         let (queue, frames) = channel::bounded(REPLIES_MAX);
+        let owed = Arc::new(AtomicUsize::new(0));
+        self.owed.lock().unwrap_or_else(PoisonError::into_inner).push(Arc::downgrade(&owed));
         let incoming = async {
             loop {
                 let frame = within(self.rules.patience, source.next()).await?;
-                serve_frame(&hello, frame, &queue, handler)?;
+                serve_frame(&hello, frame, &queue, &owed, handler)?;
             }
         };
-        incoming.or(sink.drain(&frames)).await
+        incoming.or(sink.drain(&frames, &owed)).await
     }
 
     /// Dials again and again; ends when the address is given up.
@@ -184,7 +197,7 @@
         self.change(handler, |up| {
             up.insert(link.hello.incarnation, Arc::clone(&link));
         });
-        let ended = self.run(&link, &mut source, sink.drain(&frames)).await;
+        let ended = self.run(&link, &mut source, sink.drain(&frames, &AtomicUsize::new(0))).await;
         link.end();
         self.change(handler, |up| {
             let current = up.get(&link.hello.incarnation);
@@ -245,6 +258,7 @@
     hello: &Hello,
     frame: Frame,
     queue: &Sender<Frame>,
+    owed: &AtomicUsize,
     handler: &Arc<dyn Handler>,
 ) -> Result<(), Broken> {
     match frame {
@@ -255,6 +269,7 @@
         Frame::Call { id, call } => {
             let answer = Arc::clone(handler).call(hello.incarnation, call);
             let queue = queue.clone();
+            owed.fetch_add(1, Ordering::Relaxed);
             runtime::spawn(async move {
                 let reply = answer.await;
                 drop(queue.send(Frame::Reply { id, reply }).await);
--- a/src/peer/socket.rs
+++ b/src/peer/socket.rs
@@ -1,6 +1,7 @@
 //! A WebSocket that carries frames, split into its two directions.
 
 use std::fmt;
+use std::sync::atomic::{AtomicUsize, Ordering};
 
 use async_tungstenite::tungstenite::protocol::WebSocketConfig;
 use async_tungstenite::tungstenite::{Bytes, Message};
@@ -98,13 +99,21 @@
     }
 
     /// Sends all that comes out of `queue`, as many frames to a write as wait, until it is closed.
-    pub async fn drain(&mut self, queue: &Receiver<Frame>) -> Result<(), Broken> {
+    /// Replies that are sent are taken off `owed`.
+    pub async fn drain(
+        &mut self,
+        queue: &Receiver<Frame>,
+        owed: &AtomicUsize,
+    ) -> Result<(), Broken> {
         while let Ok(frame) = queue.recv().await {
+            let mut replies = usize::from(matches!(frame, Frame::Reply { .. }));
             self.feed(&frame).await?;
             while let Ok(frame) = queue.try_recv() {
+                replies += usize::from(matches!(frame, Frame::Reply { .. }));
                 self.feed(&frame).await?;
             }
             self.0.flush().await.map_err(broken)?;
+            owed.fetch_sub(replies, Ordering::Relaxed);
         }
         Ok(())
     }
--- a/src/serve/calls.rs
+++ b/src/serve/calls.rs
@@ -6,25 +6,31 @@
 
 use crate::clock::Millis;
 use crate::dispatch::{Adopted, Adoption, Event, Report, Start};
-use crate::job::{Incarnation, Outcome};
+use crate::job::{Execution, Failure, Incarnation, Outcome, Reason};
 use crate::peer::Handler;
-use crate::wire::{Call, Note, Reply};
+use crate::wire::{Call, FRAME_MAX_BYTES, Note, Reply};
 
 use super::node::Node;
 
 /// How long a VM of another domain is looked for again before a task's outcome counts as lost.
 const FATE_PATIENCE: Millis = Millis(5000);
 
+/// What a frame holds besides the answers, in bytes.
+const FRAME_MARGIN_BYTES: usize = 64 << 10;
+
 /// Answers a question of another VM.
 pub async fn answer(node: Arc<Node>, from: Incarnation, call: Call) -> Reply {
     match call {
         Call::Submit { key, spec } => {
             let outcome = node.coordinate(&key, spec).await;
-            Reply::Outcome(Outcome::clone(&outcome))
+            Reply::Outcome(fit(&outcome))
         }
         Call::Look { key } => Reply::Seen(node.look_own(&key)),
         Call::Cancel { key } => Reply::Seen(node.cancel_own(&key)),
         Call::Run { start, adoption } => {
+            if node.is_draining() {
+                return Reply::Report(Report::Unsent("the VM is stopping".to_owned()));
+            }
             let adopted = Adopted { coordinator: from, start };
             Reply::Report(node.adopt(Event::Adopt { adopted, adoption }).await)
         }
@@ -35,6 +41,16 @@
     }
 }
 
+/// The outcome as it fits in a frame.
+fn fit(outcome: &Outcome) -> Outcome {
+    if outcome.bytes() + FRAME_MARGIN_BYTES <= FRAME_MAX_BYTES {
+        return outcome.clone();
+    }
+    let detail =
+        "the answers are too large to pass on; ask the VM that the key names, or split the job";
+    Outcome::Failed(Failure::new(Reason::Large, Execution::Ran, detail))
+}
+
 /// Takes news from another VM.
 pub fn take(node: &Arc<Node>, from: Incarnation, news: Note) {
     match news {
--- a/src/serve/core.rs
+++ b/src/serve/core.rs
@@ -68,9 +68,9 @@
         &self.engine
     }
 
-    /// The number of jobs that have no outcome.
+    /// The number of jobs without an outcome and of other domains' tasks without an end.
     pub fn running(&self) -> usize {
-        self.running.len()
+        self.running.len() + self.adopted.len()
     }
 
     /// Changes how the table keeps keys.
--- a/src/serve/node.rs
+++ b/src/serve/node.rs
@@ -12,6 +12,7 @@
 use crate::clock::{Clock, Millis};
 use crate::config::Document;
 use crate::dispatch::{Engine, Event, Member, Place, Report, Start};
+use crate::http::server::Traffic;
 use crate::job::{Execution, Failure, Incarnation, Key, Outcome, Prefix, Reason, Spec, Windows};
 use crate::peer::{Handler, Links};
 use crate::runtime;
@@ -39,6 +40,8 @@
     pub incarnation: Incarnation,
     /// Its links to the other VMs.
     pub links: Arc<Links>,
+    /// What the callers' server is doing.
+    pub traffic: Arc<Traffic>,
     clock: Clock,
     core: Mutex<Core>,
     pools: Pools,
@@ -61,6 +64,7 @@
             settings,
             incarnation,
             links,
+            traffic: Arc::default(),
             clock,
             core: Mutex::new(core),
             pools: Pools::new(clock),
@@ -221,9 +225,9 @@
         self.lock().close();
     }
 
-    /// The number of jobs that have no outcome yet.
-    pub fn running(&self) -> usize {
-        self.lock().running()
+    /// How much a stop has to wait for: jobs, requests and questions of other VMs without an answer.
+    pub fn unfinished(&self) -> usize {
+        self.lock().running() + self.traffic.busy() + self.links.owed()
     }
 
     /// The state behind the lock.
--- a/src/serve/start.rs
+++ b/src/serve/start.rs
@@ -129,7 +129,7 @@
         connections_max: callers.connections_max,
         head_timeout: callers.head_timeout,
     };
-    let ended = server::serve(listener, rules, node).await;
+    let ended = server::serve(listener, rules, Arc::clone(&node.traffic), node).await;
     invariant!(ended.is_ok(), "the callers' listener failed: {ended:?}");
 }
 
@@ -154,10 +154,10 @@
 async fn stop(node: &Node) -> Result<(), Error> {
     let mut signals = Signals::new([Signal::Term, Signal::Int])?;
     signals.next().await;
-    log::info!("event=drain-begin running={}", node.running());
+    log::info!("event=drain-begin unfinished={}", node.unfinished());
     node.drain();
     let ended = async {
-        while node.running() > 0 {
+        while node.unfinished() > 0 {
             Timer::after(DRAIN_STEP.duration()).await;
         }
     };
@@ -165,7 +165,7 @@
         Timer::after(node.settings.drain.duration()).await;
     };
     ended.or(late).await;
-    log::info!("event=drain-end running={}", node.running());
+    log::info!("event=drain-end unfinished={}", node.unfinished());
     Ok(())
 }
 
@@ -185,7 +185,7 @@
         });
         let rules = server::Rules { connections_max: 60, head_timeout: Millis::from_secs(60) };
         let echo = Arc::new(Echo { clock: Clock::start() });
-        runtime::spawn(server::serve(listener, rules, echo)).detach();
+        runtime::spawn(server::serve(listener, rules, Arc::default(), echo)).detach();
     }
     document.services.push(Service {
         name: "echo".to_owned(),
