--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -10,9 +10,16 @@
 use smol::io::AsyncReadExt as _;
 use smol::net::TcpStream;
 use smol::{Timer, io as smol_io};
+use socket2::{SockRef, TcpKeepalive};
 
 use crate::clock::Millis;
 
+/// The silence after which the system probes a connection, and the time between probes.
+const KEEPALIVE: Millis = Millis(2000);
+
+/// How long written bytes may stay unacknowledged before the system gives the connection up.
+const USER_TIMEOUT: Millis = Millis(6000);
+
 /// The largest answer that is read, in bytes.
 const ANSWER_MAX_BYTES: u64 = 16 << 20;
 
@@ -98,7 +105,7 @@
             Err(Error::Unsent(format!("no connection to {address} within {timeout}")))
         };
         let stream = connect.or(late).await?;
-        stream.set_nodelay(true).map_err(|error| Error::Unsent(error.to_string()))?;
+        prepare(&stream).map_err(|error| Error::Unsent(error.to_string()))?;
         let base = Url::parse(&format!("http://{address}/"))
             .map_err(|error| Error::Unsent(error.to_string()))?;
         Ok(Self { stream, base })
@@ -151,3 +158,13 @@
         Ok(Answer { status: response.status().into(), body, response })
     }
 }
+
+/// Sends at once, and lets the system find connections that have gone silent.
+fn prepare(stream: &TcpStream) -> io::Result<()> {
+    let keepalive =
+        TcpKeepalive::new().with_time(KEEPALIVE.duration()).with_interval(KEEPALIVE.duration());
+    let socket = SockRef::from(stream);
+    socket.set_tcp_nodelay(true)?;
+    socket.set_tcp_keepalive(&keepalive)?;
+    socket.set_tcp_user_timeout(Some(USER_TIMEOUT.duration()))
+}
