Add the store's client, its in-memory kin and the stand-in

The Consul client tells whether a failed write may have taken effect, since callers settle lost answers by reading back. Idle connections are trusted for five seconds only: what lies between may forget them.

--- /dev/null
+++ b/src/platform/consul.rs
@@ -0,0 +1,310 @@
+//! The store's HTTP client: Consul's published API over a few kept-alive connections.
+
+use std::net::SocketAddr;
+use std::sync::{Mutex, PoisonError};
+use std::time::Instant;
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use http_types::{Method, Url};
+use serde::Deserialize;
+use serde::de::DeserializeOwned;
+
+use crate::clock::Millis;
+use crate::http::{self, Connection, Question};
+
+use super::calls::Counter;
+use super::{Call, Calls, Condition, Entry, Error, Index, Read, Store, Vm};
+
+/// The most idle connections that are kept.
+const IDLE_MAX: usize = 4;
+
+/// How long an idle connection is trusted. What lies between may have forgotten an older one.
+const IDLE_TRUSTED: Millis = Millis::from_secs(5);
+
+/// The mark of a VM that is leaving, as a tag or as a key of its meta data.
+const LEAVING: &str = "leaving";
+
+/// A client of the store. Watches hold a connection of their own while they wait.
+#[derive(Debug)]
+pub struct Consul {
+    address: SocketAddr,
+    timeout: Millis,
+    idle: Mutex<Vec<Idle>>,
+    counter: Counter,
+}
+
+#[derive(Debug)]
+struct Idle {
+    connection: Connection,
+    since: Instant,
+}
+
+impl Consul {
+    /// A client of the store at `url`, `http://IP:PORT`, that waits `timeout` for an answer.
+    pub fn new(url: &str, timeout: Millis) -> Result<Self, Error> {
+        let address = address_of(url).ok_or_else(|| {
+            Error::Unreachable(format!("{url:?} is not of the form http://IP:PORT"))
+        })?;
+        Ok(Self { address, timeout, idle: Mutex::default(), counter: Counter::default() })
+    }
+
+    async fn ask(
+        &self,
+        method: Method,
+        path: &str,
+        body: &[u8],
+        wait: Millis,
+    ) -> Result<http::Answer, Error> {
+        let mut connection = self.connection().await?;
+        let timeout = self.timeout + wait;
+        let question = Question { method, path, headers: &[], body, timeout };
+        match connection.ask(&question).await {
+            Ok(answer) => {
+                self.keep(connection);
+                Ok(answer)
+            }
+            Err(error) => {
+                connection.close();
+                Err(error.into())
+            }
+        }
+    }
+
+    async fn connection(&self) -> Result<Connection, Error> {
+        loop {
+            let idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner).pop();
+            let Some(idle) = idle else { break };
+            let trusted = idle.since.elapsed() < IDLE_TRUSTED.duration();
+            if trusted && !idle.connection.is_stale().await {
+                return Ok(idle.connection);
+            }
+            idle.connection.close();
+        }
+        Ok(Connection::open(self.address, self.timeout).await?)
+    }
+
+    fn keep(&self, connection: Connection) {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        if idle.len() < IDLE_MAX {
+            idle.push(Idle { connection, since: Instant::now() });
+        }
+    }
+
+    async fn watch_path<T: DeserializeOwned>(
+        &self,
+        path: &str,
+        separator: char,
+        after: Index,
+        wait: Millis,
+    ) -> Result<Read<Vec<T>>, Error> {
+        let answer = if after == 0 {
+            self.counter.read();
+            self.ask(Method::Get, path, &[], Millis::ZERO).await?
+        } else {
+            self.counter.watch();
+            let path = format!("{path}{separator}index={after}&wait={}ms", wait.0);
+            self.ask(Method::Get, &path, &[], longest(wait)).await?
+        };
+        let index = answer.header("x-consul-index").and_then(|index| index.parse().ok());
+        let index = index.ok_or_else(|| Error::Unreadable("no X-Consul-Index".to_owned()))?;
+        let value = match answer.status {
+            404 => Vec::new(),
+            _ => json(&answer)?,
+        };
+        Ok(Read { value, index })
+    }
+
+    async fn write<T: DeserializeOwned>(
+        &self,
+        method: Method,
+        path: &str,
+        body: &[u8],
+    ) -> Result<T, Error> {
+        self.counter.write();
+        let answer = self.ask(method, path, body, Millis::ZERO).await?;
+        json(&answer)
+    }
+}
+
+/// The store adds up to a sixteenth to the time that a watch waits.
+fn longest(wait: Millis) -> Millis {
+    wait + Millis(wait.0 / 16)
+}
+
+fn address_of(url: &str) -> Option<SocketAddr> {
+    let url = Url::parse(url).ok().filter(|url| url.scheme() == "http")?;
+    let host = url.host_str()?.trim_matches(['[', ']']).parse().ok()?;
+    Some(SocketAddr::new(host, url.port_or_known_default()?))
+}
+
+fn json<T: DeserializeOwned>(answer: &http::Answer) -> Result<T, Error> {
+    if answer.status != 200 {
+        let text = String::from_utf8_lossy(&answer.body).trim().to_owned();
+        return Err(Error::Refused { status: answer.status, text });
+    }
+    serde_json::from_slice(&answer.body).map_err(|error| Error::Unreadable(error.to_string()))
+}
+
+impl From<http::Error> for Error {
+    fn from(error: http::Error) -> Self {
+        match error {
+            http::Error::Unsent(why) => Self::Unreachable(why),
+            http::Error::Lost(why) => Self::Lost(why),
+        }
+    }
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct Pair {
+    key: String,
+    value: Option<String>,
+    modify_index: Index,
+}
+
+impl TryFrom<Pair> for Entry {
+    type Error = Error;
+
+    fn try_from(pair: Pair) -> Result<Self, Error> {
+        let value = STANDARD.decode(pair.value.unwrap_or_default());
+        let value = value.map_err(|error| Error::Unreadable(error.to_string()))?;
+        Ok(Self { key: pair.key, value, index: pair.modify_index })
+    }
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct Opened {
+    #[serde(rename = "ID")]
+    id: String,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct Health {
+    service: Instance,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct Instance {
+    #[serde(rename = "ID")]
+    id: String,
+    #[serde(default)]
+    tags: Option<Vec<String>>,
+    #[serde(default)]
+    meta: Option<std::collections::BTreeMap<String, String>>,
+}
+
+impl From<Health> for Vm {
+    fn from(health: Health) -> Self {
+        let Instance { id, tags, meta } = health.service;
+        let tagged = tags.is_some_and(|tags| tags.iter().any(|tag| tag == LEAVING));
+        let noted = meta.is_some_and(|meta| meta.get(LEAVING).is_some_and(|mark| mark != "false"));
+        Self { id, leaving: tagged || noted }
+    }
+}
+
+impl Store for Consul {
+    fn get<'a>(&'a self, key: &'a str) -> Call<'a, Option<Entry>> {
+        Box::pin(async move { Ok(self.watch(key, 0, Millis::ZERO).await?.value) })
+    }
+
+    fn watch<'a>(
+        &'a self,
+        key: &'a str,
+        after: Index,
+        wait: Millis,
+    ) -> Call<'a, Read<Option<Entry>>> {
+        Box::pin(async move {
+            let path = format!("/v1/kv/{key}");
+            let Read { value, index } = self.watch_path::<Pair>(&path, '?', after, wait).await?;
+            let value = value.into_iter().next().map(Entry::try_from).transpose()?;
+            Ok(Read { value, index })
+        })
+    }
+
+    fn list<'a>(
+        &'a self,
+        prefix: &'a str,
+        after: Index,
+        wait: Millis,
+    ) -> Call<'a, Read<Vec<Entry>>> {
+        Box::pin(async move {
+            let path = format!("/v1/kv/{prefix}?recurse=true");
+            let Read { value, index } = self.watch_path::<Pair>(&path, '&', after, wait).await?;
+            let value = value.into_iter().map(Entry::try_from).collect::<Result<_, _>>()?;
+            Ok(Read { value, index })
+        })
+    }
+
+    fn put<'a>(&'a self, key: &'a str, value: Vec<u8>, condition: Condition) -> Call<'a, bool> {
+        Box::pin(async move {
+            let path = match condition {
+                Condition::Always => format!("/v1/kv/{key}"),
+                Condition::Absent => format!("/v1/kv/{key}?cas=0"),
+                Condition::Unchanged(index) => format!("/v1/kv/{key}?cas={index}"),
+            };
+            self.write(Method::Put, &path, &value).await
+        })
+    }
+
+    fn delete<'a>(&'a self, key: &'a str) -> Call<'a, ()> {
+        Box::pin(async move {
+            let path = format!("/v1/kv/{key}");
+            self.write::<bool>(Method::Delete, &path, &[]).await.map(|_| ())
+        })
+    }
+
+    fn open_session(&self, ttl: Millis) -> Call<'_, String> {
+        Box::pin(async move {
+            let body = serde_json::json!({
+                "Name": "gypsumkeel",
+                "TTL": format!("{}ms", ttl.0),
+                "Behavior": "delete",
+                "LockDelay": "0s",
+            });
+            let body = body.to_string();
+            let opened = self.write::<Opened>(Method::Put, "/v1/session/create", body.as_bytes());
+            Ok(opened.await?.id)
+        })
+    }
+
+    fn renew_session<'a>(&'a self, session: &'a str) -> Call<'a, bool> {
+        Box::pin(async move {
+            let path = format!("/v1/session/renew/{session}");
+            match self.write::<serde_json::Value>(Method::Put, &path, &[]).await {
+                Ok(_) => Ok(true),
+                Err(Error::Refused { status: 404, .. }) => Ok(false),
+                Err(error) => Err(error),
+            }
+        })
+    }
+
+    fn end_session<'a>(&'a self, session: &'a str) -> Call<'a, ()> {
+        Box::pin(async move {
+            let path = format!("/v1/session/destroy/{session}");
+            self.write::<bool>(Method::Put, &path, &[]).await.map(|_| ())
+        })
+    }
+
+    fn acquire<'a>(&'a self, key: &'a str, value: Vec<u8>, session: &'a str) -> Call<'a, bool> {
+        Box::pin(async move {
+            let path = format!("/v1/kv/{key}?acquire={session}");
+            self.write(Method::Put, &path, &value).await
+        })
+    }
+
+    fn vms<'a>(&'a self, service: &'a str, after: Index, wait: Millis) -> Call<'a, Read<Vec<Vm>>> {
+        Box::pin(async move {
+            let path = format!("/v1/health/service/{service}");
+            let Read { value, index } = self.watch_path::<Health>(&path, '?', after, wait).await?;
+            Ok(Read { value: value.into_iter().map(Vm::from).collect(), index })
+        })
+    }
+
+    fn calls(&self) -> Calls {
+        self.counter.calls()
+    }
+}
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -1,10 +1,20 @@
-//! The platform's key-value service and VM list, as a trait with small implementations.
+//! The platform's key-value service and VM list: a trait, its HTTP client and an in-memory kin.
+
+mod calls;
+mod consul;
+mod memory;
 
 use std::fmt;
 use std::pin::Pin;
 
+use serde::{Deserialize, Serialize};
+
 use crate::clock::Millis;
 
+pub use calls::Calls;
+pub use consul::Consul;
+pub use memory::Memory;
+
 /// The store's counter of changes; a watch waits for one past the index it names.
 pub type Index = u64;
 
@@ -43,7 +53,7 @@
 }
 
 /// A VM of the platform's list.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Vm {
     /// Its id; for a target's VM the id of the target.
     pub id: String,
@@ -92,6 +102,9 @@
 
     /// Reads the VM list of `service` once it has changed past `after`, or after `wait`.
     fn vms<'a>(&'a self, service: &'a str, after: Index, wait: Millis) -> Call<'a, Read<Vec<Vm>>>;
+
+    /// How many calls were made so far.
+    fn calls(&self) -> Calls;
 }
 
 /// Why a call to the store gave no answer.
--- a/tests/testenv/mod.rs
+++ b/tests/testenv/mod.rs
@@ -6,6 +6,7 @@
 mod caller;
 mod process;
 mod proxy;
+pub mod store;
 mod target;
 
 use std::sync::{Arc, LazyLock};
