--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -3,6 +3,7 @@
 mod testenv;
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use gypsumkeel::clock::Millis;
 use gypsumkeel::platform::{Condition, Consul, Error, Store as _, Vm};
@@ -96,6 +97,6 @@
     let down = put(b"3".to_vec()).unwrap_err();
     assert_eq!(store.memory().peek("k"), Some(b"2".to_vec()), "{down}");
     store.down(false);
-    testenv::store::eventually("writes again", || put(b"4".to_vec()).is_ok());
+    testenv::wait_until("writes again", Duration::from_secs(10), || put(b"4".to_vec()).is_ok());
     store.close();
 }
--- a/tests/testenv/store.rs
+++ b/tests/testenv/store.rs
@@ -408,12 +408,3 @@
     response.set_body(body);
     response
 }
-
-/// Runs `check` until it holds; panics with `what` after a generous wait.
-pub fn eventually(what: &str, check: impl Fn() -> bool) {
-    let clock = Clock::start();
-    while !check() {
-        assert!(clock.now() < Millis::from_secs(30), "still not: {what}");
-        thread::sleep(Duration::from_millis(5));
-    }
-}
