Add the command line, logs, metrics and check

The words of the command line become one `cli::Command`, apart from what is run; the words that each command takes stand in one table, so that every bad word is answered with the command's own help. Exit codes stand in one file. A log line that can't be written is dropped: fern panics when its last resort fails too, and a full disk must not end a VM. Metrics are summed in atomics and sent by one thread a second; cadence's queuing sink was ruled out, since its flush overtakes what is queued and the request path never waits anyway. submit, status and config answer that they are not there yet.

--- /dev/null
+++ b/src/check.rs
@@ -0,0 +1,40 @@
+//! `gypsumkeel check`: every error of a settings or configuration file.
+
+use serde_norway::Value;
+
+use crate::cli::Input;
+use crate::config::Document;
+use crate::exit::{self, Exit};
+use crate::settings::{Fault, Settings, read};
+
+/// The sections that only a configuration has. `targets` is a list there and a mapping in settings.
+const SECTIONS: [&str; 3] = ["services", "limits", "teams"];
+
+/// Checks one file and prints what it is, or every error in it.
+pub fn run(file: &Input) -> Exit {
+    let text = match file.text() {
+        Ok(text) => text,
+        Err(error) => return Exit::Usage.because(error),
+    };
+    let (kind, faults) = check(&text);
+    if faults.is_empty() {
+        return exit::print(&format!("{file}: valid {kind}\n"));
+    }
+    for fault in &faults {
+        exit::complain(format_args!("{file}: {fault}"));
+    }
+    Exit::Usage
+}
+
+fn check(text: &str) -> (&'static str, Vec<Fault>) {
+    match read::parse(text) {
+        Err(fault) => ("YAML", vec![fault]),
+        Ok(root) if is_document(&root) => ("configuration", read::typed::<Document>(&root).1),
+        Ok(_) => ("settings", Settings::parse(text).err().unwrap_or_default()),
+    }
+}
+
+fn is_document(root: &Value) -> bool {
+    let lists_targets = root.get("targets").is_some_and(Value::is_sequence);
+    lists_targets || SECTIONS.iter().any(|section| root.get(section).is_some())
+}
--- /dev/null
+++ b/src/cli/mod.rs
@@ -0,0 +1,200 @@
+//! The command line: words in, one [`Command`] out. Nothing is run here.
+
+mod error;
+mod help;
+mod input;
+mod words;
+
+use std::ffi::OsString;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use lexopt::{Arg, Parser};
+
+pub use self::error::Error;
+pub use self::help::Topic;
+pub use self::input::{Input, InputError};
+use self::words::Words;
+use crate::clock::Millis;
+
+/// The targets that `dev` runs where no number is given.
+const DEV_TARGETS: usize = 4;
+
+/// The most targets that `dev` runs.
+const DEV_TARGETS_MAX: usize = 64;
+
+/// How long `submit` tries where no time is given.
+const SUBMIT_TIMEOUT: Millis = Millis::from_secs(30);
+
+/// The key prefix of an installation where none is given, as in the settings.
+const STORE_PREFIX: &str = "gypsumkeel";
+
+/// What the program is asked to do.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Command {
+    /// Print a help text.
+    Help(Topic),
+    /// Print the version.
+    Version,
+    /// Run an entry VM.
+    Serve {
+        /// The settings file.
+        settings: PathBuf,
+    },
+    /// Run the embedded default.
+    Dev {
+        /// How many built-in targets to run.
+        targets: usize,
+    },
+    /// Submit one job.
+    Submit(Submit),
+    /// Check a settings or configuration file.
+    Check {
+        /// The file.
+        file: Input,
+    },
+    /// Read or change the configuration.
+    Config(Config),
+    /// Ask a VM how it is.
+    Status(Status),
+}
+
+/// The words of `submit`.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Submit {
+    /// The entry VMs, in the order to try them.
+    pub entries: Vec<SocketAddr>,
+    /// The idempotency key; a fresh one where none is given.
+    pub key: Option<String>,
+    /// Whether to mark the job as repeatable.
+    pub repeatable: bool,
+    /// How long to try.
+    pub timeout: Millis,
+    /// The job.
+    pub file: Input,
+}
+
+/// The words of `config`.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Config {
+    /// The platform's store.
+    pub store: SocketAddr,
+    /// What all keys of the installation start with.
+    pub prefix: String,
+    /// What to do.
+    pub action: Action,
+}
+
+/// What `config` is to do.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Action {
+    /// Print the document or one section.
+    Get {
+        /// The section; all where none is given.
+        section: Option<String>,
+    },
+    /// Replace one section.
+    Apply(Apply),
+    /// Print the audit trail.
+    History {
+        /// The section; all where none is given.
+        section: Option<String>,
+    },
+}
+
+/// The words of `config apply`.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Apply {
+    /// The section to replace.
+    pub section: String,
+    /// The version that was edited.
+    pub base: u64,
+    /// Who changes it.
+    pub who: String,
+    /// Why.
+    pub why: String,
+    /// The new section.
+    pub file: Input,
+}
+
+/// The words of `status`.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Status {
+    /// The entry VM.
+    pub entry: SocketAddr,
+    /// Whether to print the answer as it came.
+    pub json: bool,
+}
+
+/// Reads the words after the program's name.
+pub fn parse(args: impl IntoIterator<Item = OsString>) -> Result<Command, Error> {
+    let mut parser = Parser::from_args(args);
+    let topic = match parser.next()? {
+        None => return Err(Error::NoCommand),
+        Some(Arg::Long("help") | Arg::Short('h')) => return Ok(Command::Help(Topic::Main)),
+        Some(Arg::Long("version") | Arg::Short('V')) => return Ok(Command::Version),
+        Some(Arg::Value(word)) => Topic::of_word(&word)?,
+        Some(arg) => return Err(arg.unexpected().into()),
+    };
+    let words = Words::read(parser, topic)?;
+    if words.is_set("help") {
+        return Ok(Command::Help(topic));
+    }
+    match topic {
+        Topic::Main => Ok(Command::Help(topic)),
+        Topic::Serve => Ok(Command::Serve { settings: words.required("settings")?.into() }),
+        Topic::Dev => dev(&words),
+        Topic::Submit => submit(&words),
+        Topic::Check => Ok(Command::Check { file: words.file("FILE")? }),
+        Topic::Config => config(&words),
+        Topic::Status => status(&words),
+    }
+}
+
+fn dev(words: &Words) -> Result<Command, Error> {
+    let expected = "a number of targets from 1 to 64";
+    let fits = |text: &str| text.parse().ok().filter(|count| (1..=DEV_TARGETS_MAX).contains(count));
+    let targets = words.optional("targets", expected, fits)?;
+    Ok(Command::Dev { targets: targets.unwrap_or(DEV_TARGETS) })
+}
+
+fn submit(words: &Words) -> Result<Command, Error> {
+    let timeout = words.time("timeout")?;
+    Ok(Command::Submit(Submit {
+        entries: words.addresses("entry")?,
+        key: words.text("key")?,
+        repeatable: words.is_set("repeatable"),
+        timeout: timeout.unwrap_or(SUBMIT_TIMEOUT),
+        file: words.file("FILE")?,
+    }))
+}
+
+fn status(words: &Words) -> Result<Command, Error> {
+    let entry = words.address("entry")?;
+    Ok(Command::Status(Status { entry, json: words.is_set("json") }))
+}
+
+fn config(words: &Words) -> Result<Command, Error> {
+    let section = words.text("section")?;
+    let action = match words.word(0) {
+        Some("get") => Action::Get { section },
+        Some("history") => Action::History { section },
+        Some("apply") => Action::Apply(Apply {
+            section: section.ok_or_else(|| words.lacks("section"))?,
+            base: words
+                .optional("base", "the version that config get printed", |text| text.parse().ok())?
+                .ok_or_else(|| words.lacks("base"))?,
+            who: words.text("who")?.ok_or_else(|| words.lacks("who"))?,
+            why: words.text("why")?.unwrap_or_default(),
+            file: words.file("FILE")?,
+        }),
+        _ => return Err(Error::Action(words.word(0).map(str::to_owned))),
+    };
+    if !matches!(action, Action::Apply(_))
+        && let Some(word) = words.word(1)
+    {
+        return Err(Error::Unexpected { word: word.to_owned(), topic: Topic::Config });
+    }
+    let prefix = words.text("prefix")?.unwrap_or_else(|| STORE_PREFIX.to_owned());
+    Ok(Command::Config(Config { store: words.address("store")?, prefix, action }))
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,11 +1,16 @@
 //! A dispatcher for jobs of sub-second tasks.
 
+pub mod check;
+pub mod cli;
 pub mod clock;
 pub mod config;
 pub mod dispatch;
+pub mod exit;
 pub mod http;
 pub mod invariant;
 pub mod job;
+pub mod logs;
+pub mod metrics;
 pub mod peer;
 pub mod platform;
 pub mod runtime;
--- /dev/null
+++ b/src/logs.rs
@@ -0,0 +1,144 @@
+//! Logs: one line of key=value pairs for each event, on standard error or in a file.
+
+use std::fmt::{self, Write as _};
+use std::fs::OpenOptions;
+use std::io::{self, Write};
+use std::path::{Path, PathBuf};
+use std::time::SystemTime;
+
+use log::{LevelFilter, Record};
+
+use crate::settings::{Level, Log};
+
+/// Logs one event: a level, its name, and its pairs.
+///
+/// ```
+/// gypsumkeel::event!(info, "config-applied", version = 3, who = "ana");
+/// ```
+#[macro_export]
+macro_rules! event {
+    ($level:ident, $name:expr $(, $key:ident = $value:expr)* $(,)?) => {
+        log::$level!(
+            "event={}{}",
+            $name,
+            $crate::logs::Pairs(&[$((stringify!($key), &$value as &dyn ::std::fmt::Display)),*])
+        )
+    };
+}
+
+/// Pairs of a line, each with a space before it. Values are quoted where they need it.
+#[derive(Clone, Copy)]
+pub struct Pairs<'a>(pub &'a [(&'a str, &'a dyn fmt::Display)]);
+
+impl fmt::Display for Pairs<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.iter().try_for_each(|(key, value)| write!(f, " {key}={}", Value(value)))
+    }
+}
+
+impl fmt::Debug for Pairs<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, f)
+    }
+}
+
+/// A value, in quotes if it is empty or could be mistaken for more than one.
+struct Value<'a>(&'a dyn fmt::Display);
+
+impl fmt::Display for Value<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let text = self.0.to_string();
+        let is_plain = |c: char| c.is_ascii_graphic() && !matches!(c, '"' | '=' | '\\');
+        if !text.is_empty() && text.chars().all(is_plain) {
+            f.write_str(&text)
+        } else {
+            write!(f, "{text:?}")
+        }
+    }
+}
+
+/// Why no logs can be written.
+#[derive(Debug)]
+pub enum Error {
+    /// The log file can't be opened.
+    Open(PathBuf, io::Error),
+    /// Logs were set up before in this process.
+    Twice,
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Open(path, error) => {
+                write!(f, "{}: {error}; give a writable path in log.file", path.display())
+            }
+            Self::Twice => write!(f, "logs are set up already; set them up once"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+/// Sends all log lines of the process where the settings say.
+pub fn start(log: &Log) -> Result<(), Error> {
+    let sink = match &log.file {
+        Some(path) => open(path)?,
+        None => Box::new(io::stderr()),
+    };
+    let sink = Box::new(Lossy(sink)) as Box<dyn Write + Send>;
+    fern::Dispatch::new()
+        .level(log.level.into())
+        .format(|out, message, record| out.finish(format_args!("{}", line(message, record))))
+        .chain(sink)
+        .apply()
+        .map_err(|_| Error::Twice)
+}
+
+impl From<Level> for LevelFilter {
+    fn from(level: Level) -> Self {
+        match level {
+            Level::Error => Self::Error,
+            Level::Warn => Self::Warn,
+            Level::Info => Self::Info,
+            Level::Debug => Self::Debug,
+            Level::Trace => Self::Trace,
+        }
+    }
+}
+
+fn open(path: &Path) -> Result<Box<dyn Write + Send>, Error> {
+    let file = OpenOptions::new().append(true).create(true).open(path);
+    file.map(|file| Box::new(file) as Box<dyn Write + Send>)
+        .map_err(|error| Error::Open(path.to_owned(), error))
+}
+
+fn line(message: &fmt::Arguments<'_>, record: &Record<'_>) -> String {
+    let time = humantime::format_rfc3339_millis(SystemTime::now());
+    let level = record.level().as_str().to_ascii_lowercase();
+    let mut line = format!("time={time} level={level} ");
+    let text = message.to_string();
+    let written = if text.starts_with("event=") && !text.contains('\n') {
+        line.write_str(&text)
+    } else {
+        let pairs: [(&str, &dyn fmt::Display); 2] =
+            [("module", &record.target()), ("message", &text)];
+        write!(line, "event=message{}", Pairs(&pairs))
+    };
+    debug_assert_eq!(written, Ok(()));
+    line
+}
+
+/// A writer that drops what can't be written, since fern panics when its last resort fails too.
+struct Lossy(Box<dyn Write + Send>);
+
+impl Write for Lossy {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        drop(self.0.write_all(bytes));
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        drop(self.0.flush());
+        Ok(())
+    }
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,34 +1,56 @@
-//! The program.
+//! The program: reads the command line, runs one command, and exits with its code.
 
-use std::process::ExitCode;
+use std::env;
+use std::path::Path;
 
-use gypsumkeel::serve;
-use gypsumkeel::settings::Settings;
+use gypsumkeel::cli::{self, Command, Input};
+use gypsumkeel::exit::{self, Exit};
+use gypsumkeel::settings::{Log, Settings};
+use gypsumkeel::{check, logs, serve};
 
-fn main() -> ExitCode {
-    let words = std::env::args().skip(1).collect::<Vec<_>>();
-    let words = words.iter().map(String::as_str).collect::<Vec<_>>();
-    let result = match words.as_slice() {
-        ["serve", "--settings", file] => {
-            let text = std::fs::read_to_string(file).unwrap_or_default();
-            match Settings::parse(&text) {
-                Ok(settings) => serve::run(settings),
-                Err(faults) => {
-                    for fault in faults {
-                        eprintln!("[gypsumkeel error]: {fault}");
-                    }
-                    return ExitCode::from(2);
-                }
-            }
+fn main() -> Exit {
+    match cli::parse(env::args_os().skip(1)) {
+        Ok(command) => run(command),
+        Err(error) => Exit::Usage.because(error),
+    }
+}
+
+fn run(command: Command) -> Exit {
+    match command {
+        Command::Help(topic) => exit::print(topic.text()),
+        Command::Version => exit::print(concat!("gypsumkeel ", env!("CARGO_PKG_VERSION"), "\n")),
+        Command::Serve { settings } => run_vm(&settings),
+        Command::Dev { targets } => run_logged(&Log::default(), || serve::dev(targets)),
+        Command::Check { file } => check::run(&file),
+        Command::Submit(_) | Command::Config(_) | Command::Status(_) => {
+            Exit::Failed.because("not there yet; take a newer version")
         }
-        ["dev"] => serve::dev(4),
-        _ => return ExitCode::from(2),
+    }
+}
+
+fn run_vm(file: &Path) -> Exit {
+    let text = match Input::from(file).text() {
+        Ok(text) => text,
+        Err(error) => return Exit::Usage.because(error),
     };
-    match result {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("[gypsumkeel error]: {error}");
-            ExitCode::FAILURE
+    match Settings::parse(&text) {
+        Ok(settings) => run_logged(&settings.log.clone(), || serve::run(settings)),
+        Err(faults) => {
+            for fault in faults {
+                exit::complain(format_args!("{}: {fault}", file.display()));
+            }
+            Exit::Usage
         }
     }
 }
+
+/// Runs a VM to its end, with its logs where `log` says.
+fn run_logged(log: &Log, vm: impl FnOnce() -> Result<(), serve::Error>) -> Exit {
+    if let Err(error) = logs::start(log) {
+        return Exit::Failed.because(error);
+    }
+    match vm() {
+        Ok(()) => Exit::Done,
+        Err(error) => Exit::Failed.because(error),
+    }
+}
--- /dev/null
+++ b/src/metrics/mod.rs
@@ -0,0 +1,148 @@
+//! Metrics: counted in atomics on the path of a request, and sent to StatsD once a second.
+
+mod histogram;
+mod names;
+
+use std::fmt;
+use std::io;
+use std::mem;
+use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{self, RecvTimeoutError, Sender};
+use std::thread::{self, JoinHandle};
+
+use cadence::{BufferedUdpMetricSink, Counted as _, Gauged as _, StatsdClient};
+
+pub use self::histogram::{Histogram, Summary};
+pub use self::names::{Counter, Gauge, Timer};
+use crate::clock::Millis;
+
+/// The pause between two sendings.
+const SEND_EVERY: Millis = Millis::from_secs(1);
+
+/// All metrics of a process. Changing one costs an atomic addition.
+#[derive(Debug, Default)]
+pub struct Metrics {
+    counters: [AtomicU64; Counter::ALL.len()],
+    gauges: [AtomicU64; Gauge::ALL.len()],
+    timers: [Histogram; Timer::ALL.len()],
+}
+
+impl Metrics {
+    /// Counts one event.
+    pub fn count(&self, counter: Counter) {
+        self.add(counter, 1);
+    }
+
+    /// Counts `events` events.
+    pub fn add(&self, counter: Counter, events: u64) {
+        self.counters[counter as usize].fetch_add(events, Ordering::Relaxed);
+    }
+
+    /// Sets a level.
+    pub fn set(&self, gauge: Gauge, level: u64) {
+        self.gauges[gauge as usize].store(level, Ordering::Relaxed);
+    }
+
+    /// Adds a time.
+    pub fn time(&self, timer: Timer, time: Millis) {
+        self.timers[timer as usize].add(time);
+    }
+
+    /// How many events were counted since the start.
+    pub fn total(&self, counter: Counter) -> u64 {
+        self.counters[counter as usize].load(Ordering::Relaxed)
+    }
+
+    /// A level as it was last set.
+    pub fn level(&self, gauge: Gauge) -> u64 {
+        self.gauges[gauge as usize].load(Ordering::Relaxed)
+    }
+}
+
+/// Why metrics can't be sent.
+#[derive(Debug)]
+pub enum Error {
+    /// No socket or thread could be had.
+    System(io::Error),
+    /// The client refused the address.
+    Client(cadence::MetricError),
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::System(error) => {
+                write!(f, "metrics: {error}; raise the limits of sockets and threads")
+            }
+            Self::Client(error) => write!(f, "metrics: {error}; mend metrics.statsd"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+impl From<io::Error> for Error {
+    fn from(error: io::Error) -> Self {
+        Self::System(error)
+    }
+}
+
+/// The thread that sends metrics once a second.
+#[derive(Debug)]
+pub struct Reporter {
+    stop: Sender<()>,
+    thread: JoinHandle<()>,
+}
+
+impl Reporter {
+    /// Starts to send `metrics` to `statsd` under names that start with `gypsumkeel.<vm>`.
+    pub fn start(metrics: Arc<Metrics>, statsd: SocketAddr, vm: &str) -> Result<Self, Error> {
+        let socket = UdpSocket::bind((Ipv4Addr::UNSPECIFIED, 0))?;
+        socket.set_nonblocking(true)?;
+        let sink = BufferedUdpMetricSink::from(statsd, socket).map_err(Error::Client)?;
+        let client = StatsdClient::from_sink(&format!("gypsumkeel.{}", vm.replace('.', "_")), sink);
+        let (stop, stopped) = mpsc::channel();
+        let run = move || {
+            let mut sent = [0; Counter::ALL.len()];
+            let mut running = true;
+            while running {
+                let pause = stopped.recv_timeout(SEND_EVERY.duration());
+                running = pause == Err(RecvTimeoutError::Timeout);
+                send(&metrics, &client, &mut sent);
+            }
+        };
+        let thread = thread::Builder::new().name("metrics".to_owned()).spawn(run)?;
+        Ok(Self { stop, thread })
+    }
+
+    /// Sends what is left and stops.
+    pub fn close(self) {
+        drop(self.stop);
+        drop(self.thread.join());
+    }
+}
+
+/// Sends the events since the last sending, all levels, and what the timers held.
+fn send(metrics: &Metrics, client: &StatsdClient, sent: &mut [u64; Counter::ALL.len()]) {
+    for (counter, sent) in Counter::ALL.iter().zip(sent) {
+        let total = metrics.total(*counter);
+        // A server that is away costs only its own values.
+        let new = total - mem::replace(sent, total);
+        if new > 0 {
+            drop(client.count(counter.name(), new));
+        }
+    }
+    for gauge in Gauge::ALL {
+        drop(client.gauge(gauge.name(), metrics.level(*gauge)));
+    }
+    for timer in Timer::ALL {
+        let name = timer.name();
+        let summary = metrics.timers[*timer as usize].take();
+        drop(client.gauge(&format!("{name}.p50"), summary.p50.0));
+        drop(client.gauge(&format!("{name}.p99"), summary.p99.0));
+        drop(client.gauge(&format!("{name}.max"), summary.max.0));
+    }
+    drop(client.flush());
+}
--- /dev/null
+++ b/tests/cli.rs
@@ -0,0 +1,214 @@
+//! The command line of the real binary: words, exit codes and messages.
+
+use std::io::Write as _;
+use std::process::{Command, Stdio};
+
+use insta::assert_snapshot;
+
+/// Command lines that are refused.
+const BAD_WORDS: [&str; 24] = [
+    "",
+    "sevre",
+    "--sevre",
+    "serve",
+    "serve --settings",
+    "serve --settings=a --settings b",
+    "serve --settings /nonexistent/settings.yaml",
+    "dev --targets none",
+    "dev --targets 65",
+    "dev here",
+    "submit job.json",
+    "submit --entry http://127.0.0.1:1",
+    "submit --entry balancer:80 job.json",
+    "submit --entry http://127.0.0.1:1,, job.json",
+    "submit --entry http://127.0.0.1:1 --timeout 5 job.json",
+    "submit --entry http://127.0.0.1:1 --repeatable=yes job.json",
+    "status -x",
+    "config",
+    "config put --store http://127.0.0.1:1",
+    "config get",
+    "config get --store http://127.0.0.1:1 teams",
+    "config apply --store http://127.0.0.1:1 --section teams --base 1 teams.yaml",
+    "config apply --store http://127.0.0.1:1 --section teams --base x --who ana teams.yaml",
+    "check",
+];
+
+/// Runs the program with `words` and `input`; gives its exit code, output and errors.
+fn run_with(words: &str, input: &str) -> String {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_gypsumkeel"))
+        .args(words.split_whitespace())
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the program starts");
+    let mut stdin = child.stdin.take().expect("standard input is piped");
+    stdin.write_all(input.as_bytes()).expect("the program reads its input");
+    drop(stdin);
+    let output = child.wait_with_output().expect("the program ends");
+    let code = output.status.code().expect("the program exits by itself");
+    let text = |bytes| String::from_utf8(bytes).expect("the program writes UTF-8");
+    format!("{code}\n{}{}", text(output.stdout), text(output.stderr))
+}
+
+fn run(words: &str) -> String {
+    run_with(words, "")
+}
+
+#[test]
+fn version_is_printed() {
+    assert_snapshot!(run("--version"), @r"
+    0
+    gypsumkeel 0.1.0
+    ");
+}
+
+#[test]
+fn help_lists_the_commands_and_exit_codes() {
+    assert_snapshot!(run("--help"), @r"
+    0
+    A dispatcher for jobs of sub-second tasks.
+
+    Usage: gypsumkeel COMMAND [OPTIONS]
+
+    Commands:
+      serve   Run an entry VM
+      dev     Run everything in one process, to try it out
+      submit  Submit one job and wait for its answer
+      check   Check a settings or configuration file
+      config  Read or change the configuration
+      status  Ask an entry VM how it is
+
+    Options:
+      -h, --help     Print help; after a command, help on it
+      -V, --version  Print the version
+
+    Exit codes:
+      0  done
+      1  failed
+      2  the command line or an input is invalid
+      3  refused, and nothing was executed
+      4  it is not known whether anything was executed
+    ");
+}
+
+#[test]
+fn every_command_has_help() {
+    for command in ["serve", "dev", "submit", "check", "config", "status"] {
+        let text = run(&format!("{command} --help"));
+        assert!(text.contains(&format!("Usage: gypsumkeel {command}")), "{text}");
+        assert_eq!(run(&format!("{command} -h")), text);
+    }
+}
+
+#[test]
+fn bad_words_get_a_line_that_names_the_remedy() {
+    let report = BAD_WORDS
+        .map(|words| format!("{}\n{}", format!("$ {words}").trim_end(), run(words)))
+        .concat();
+    assert_snapshot!(report, @r#"
+    $
+    2
+    [gypsumkeel error]: no command; use one of serve, dev, submit, check, config, status, or --help
+    $ sevre
+    2
+    [gypsumkeel error]: no such command "sevre"; use one of serve, dev, submit, check, config, status, or --help
+    $ --sevre
+    2
+    [gypsumkeel error]: invalid option '--sevre'; see gypsumkeel --help
+    $ serve
+    2
+    [gypsumkeel error]: serve needs --settings; see gypsumkeel serve --help
+    $ serve --settings
+    2
+    [gypsumkeel error]: missing argument for option '--settings'; see gypsumkeel --help
+    $ serve --settings=a --settings b
+    2
+    [gypsumkeel error]: --settings is given twice; give it once
+    $ serve --settings /nonexistent/settings.yaml
+    2
+    [gypsumkeel error]: /nonexistent/settings.yaml: No such file or directory (os error 2); give a readable file in UTF-8
+    $ dev --targets none
+    2
+    [gypsumkeel error]: --targets can't be "none"; give a number of targets from 1 to 64
+    $ dev --targets 65
+    2
+    [gypsumkeel error]: --targets can't be "65"; give a number of targets from 1 to 64
+    $ dev here
+    2
+    [gypsumkeel error]: dev takes no "here"; see gypsumkeel dev --help
+    $ submit job.json
+    2
+    [gypsumkeel error]: submit needs --entry; see gypsumkeel submit --help
+    $ submit --entry http://127.0.0.1:1
+    2
+    [gypsumkeel error]: submit needs FILE; see gypsumkeel submit --help
+    $ submit --entry balancer:80 job.json
+    2
+    [gypsumkeel error]: --entry can't be "balancer:80"; give http://IP:PORT[,http://IP:PORT…]
+    $ submit --entry http://127.0.0.1:1,, job.json
+    2
+    [gypsumkeel error]: --entry can't be "http://127.0.0.1:1,,"; give http://IP:PORT[,http://IP:PORT…]
+    $ submit --entry http://127.0.0.1:1 --timeout 5 job.json
+    2
+    [gypsumkeel error]: --timeout can't be "5"; give a time with its unit, such as 500ms or 5s
+    $ submit --entry http://127.0.0.1:1 --repeatable=yes job.json
+    2
+    [gypsumkeel error]: unexpected argument for option '--repeatable': "yes"; see gypsumkeel --help
+    $ status -x
+    2
+    [gypsumkeel error]: status takes no "-x"; see gypsumkeel status --help
+    $ config
+    2
+    [gypsumkeel error]: config does nothing by itself; add get, apply or history
+    $ config put --store http://127.0.0.1:1
+    2
+    [gypsumkeel error]: config has no action "put"; use get, apply or history
+    $ config get
+    2
+    [gypsumkeel error]: config needs --store; see gypsumkeel config --help
+    $ config get --store http://127.0.0.1:1 teams
+    2
+    [gypsumkeel error]: config takes no "teams"; see gypsumkeel config --help
+    $ config apply --store http://127.0.0.1:1 --section teams --base 1 teams.yaml
+    2
+    [gypsumkeel error]: config needs --who; see gypsumkeel config --help
+    $ config apply --store http://127.0.0.1:1 --section teams --base x --who ana teams.yaml
+    2
+    [gypsumkeel error]: --base can't be "x"; give the version that config get printed
+    $ check
+    2
+    [gypsumkeel error]: check needs FILE; see gypsumkeel check --help
+    "#);
+}
+
+#[test]
+fn check_tells_settings_from_a_configuration() {
+    let settings = "{ vm: a, domain: a, region: r, listen: { callers: 127.0.0.1:0, peers: 127.0.0.1:0 }, store: { url: http://127.0.0.1:1 } }";
+    assert_snapshot!(run_with("check -", settings), @r"
+    0
+    standard input: valid settings
+    ");
+    assert_snapshot!(run_with("check -", "teams: []"), @r"
+    0
+    standard input: valid configuration
+    ");
+    assert_snapshot!(run_with("check -", "targets: { prove_after: 2 }"), @r"
+    2
+    [gypsumkeel error]: standard input: targets.prove_after: 2: expected a time with its unit, such as 250ms, 2s or 1m
+    [gypsumkeel error]: standard input: vm: missing: give the VM a name of its own, such as lantern-a-1
+    [gypsumkeel error]: standard input: domain: missing: name the VM's failure domain, such as a
+    [gypsumkeel error]: standard input: region: missing: name the VM's region, such as south
+    [gypsumkeel error]: standard input: listen.callers: missing: give IP:PORT for callers; port 0 takes a free one
+    [gypsumkeel error]: standard input: listen.peers: missing: give IP:PORT for other VMs; port 0 takes a free one
+    [gypsumkeel error]: standard input: store.url: missing: give the store as http://IP:PORT
+    ");
+    assert_snapshot!(run_with("check -", "targets: [{ id: t, domain: a, address: 127.0.0.1 }]"), @r#"
+    2
+    [gypsumkeel error]: standard input: targets[0].address: "127.0.0.1": give it as IP:PORT, such as 192.0.2.1:7100
+    "#);
+    assert_snapshot!(run_with("check -", "a: ["), @r"
+    2
+    [gypsumkeel error]: standard input: line 2 column 1: did not find expected node content at line 2 column 1, while parsing a flow node: mend the YAML there
+    ");
+}
