Keep the configuration in sections under one head moved by compare-and-swap

A change writes the section's text under its hash and then the head, so it is in force whole or not at all, and its audit entry is part of the head that accepts it. A lost answer is settled by finding the change id in the head or in the entries that left it; a retry on the same index can't take effect twice. VMs apply by one pointer swap and only upwards; news between peers carry a digest of the resulting state. Texts up to 256 bytes ride in the head: 520 small sections would else cost 520 reads a change and a start.

--- /dev/null
+++ b/src/audit.rs
@@ -0,0 +1,38 @@
+//! The audit trail as seen by a VM: one log line for each change that comes into force.
+//!
+//! The trail itself is kept with the head in the store; see [`config::Change`](crate::config::Change).
+
+use crate::clock::Millis;
+use crate::config::Snapshot;
+
+/// Logs every change between two versions. Those too long ago to be told apart share one line.
+pub fn applied(from: &Snapshot, to: &Snapshot) {
+    let news = to.changes.iter().filter(|change| change.version > from.version);
+    let first = news.clone().next().map_or(to.version + 1, |change| change.version);
+    if first > from.version + 1 {
+        let last = first - 1;
+        log::info!(
+            "event=config-applied version={last} from={} reason=\"caught up\"",
+            from.version
+        );
+    }
+    for change in news {
+        let hash = change.hash.map_or_else(|| "removed".to_owned(), |hash| hash.to_string());
+        log::info!(
+            "event=config-applied version={} section={} section_version={} hash={hash} who={:?} at={} change={} why={:?}",
+            change.version,
+            change.section,
+            change.section_version,
+            change.who,
+            date(change.at),
+            change.id,
+            change.why,
+        );
+    }
+}
+
+/// A time since the Unix epoch as RFC 3339.
+pub fn date(at: Millis) -> String {
+    let time = std::time::UNIX_EPOCH + at.duration();
+    humantime::format_rfc3339_millis(time).to_string()
+}
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -1,8 +1,21 @@
 //! The operators' configuration: one document in sections, in force on every VM.
 
+mod check;
 mod document;
+mod fetch;
+mod head;
+mod holder;
+pub mod operator;
+mod section;
+mod snapshot;
+mod watcher;
 
 pub use document::{
     Document, Ejection, Limits, Queue, Retries, Service, SlotMode, Slots, Target, Team,
     WindowLimits,
 };
+pub use head::{Change, Hash, Head, Reference};
+pub use holder::{Counts, Holder, Offer};
+pub use section::{Body, Kind, Name, TEXT_MAX_BYTES, document};
+pub use snapshot::{Part, Refusal, Snapshot, Update};
+pub use watcher::watch;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,5 +1,6 @@
 //! A dispatcher for jobs of sub-second tasks.
 
+pub mod audit;
 pub mod check;
 pub mod cli;
 pub mod clock;
--- a/src/platform/consul.rs
+++ b/src/platform/consul.rs
@@ -6,7 +6,7 @@
 
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
-use http_types::{Method, Url};
+use http_types::Method;
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 
@@ -41,12 +41,9 @@
 }
 
 impl Consul {
-    /// A client of the store at `url`, `http://IP:PORT`, that waits `timeout` for an answer.
-    pub fn new(url: &str, timeout: Millis) -> Result<Self, Error> {
-        let address = address_of(url).ok_or_else(|| {
-            Error::Unreachable(format!("{url:?} is not of the form http://IP:PORT"))
-        })?;
-        Ok(Self { address, timeout, idle: Mutex::default(), counter: Counter::default() })
+    /// A client of the store at `address` that waits `timeout` for an answer.
+    pub fn new(address: SocketAddr, timeout: Millis) -> Self {
+        Self { address, timeout, idle: Mutex::default(), counter: Counter::default() }
     }
 
     async fn ask(
@@ -132,12 +129,6 @@
     wait + Millis(wait.0 / 16)
 }
 
-fn address_of(url: &str) -> Option<SocketAddr> {
-    let url = Url::parse(url).ok().filter(|url| url.scheme() == "http")?;
-    let host = url.host_str()?.trim_matches(['[', ']']).parse().ok()?;
-    Some(SocketAddr::new(host, url.port_or_known_default()?))
-}
-
 fn json<T: DeserializeOwned>(answer: &http::Answer) -> Result<T, Error> {
     if answer.status != 200 {
         let text = String::from_utf8_lossy(&answer.body).trim().to_owned();
--- /dev/null
+++ b/tests/config.rs
@@ -0,0 +1,345 @@
+//! The configuration against the stand-in store: operators that race, lost answers, stale answers.
+
+mod testenv;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use gypsumkeel::clock::Millis;
+use gypsumkeel::config::operator::{self, Edit, Place, Rejection, Section};
+use gypsumkeel::config::{self, Change, Head, Holder, Name, Offer, Refusal};
+use gypsumkeel::platform::{self, Consul, Store as _};
+use testenv::store::Store;
+use testenv::wait_until;
+
+const PREFIX: &str = "gypsumkeel/test";
+const TIMEOUT: Millis = Millis::from_secs(2);
+const PATIENCE: Millis = Millis::from_secs(60);
+const LIMIT: Duration = Duration::from_secs(30);
+
+/// An operator's end of the store.
+struct Desk(Consul);
+
+impl Desk {
+    fn new(store: &Store) -> Self {
+        Self(Consul::new(store.address(), TIMEOUT))
+    }
+
+    fn place(&self) -> Place<'_> {
+        Place { store: &self.0, prefix: PREFIX }
+    }
+
+    fn apply(&self, section: &str, base: u64, text: &str, who: &str) -> Result<Change, Rejection> {
+        self.apply_within(section, base, text, who, PATIENCE)
+    }
+
+    fn apply_within(
+        &self,
+        section: &str,
+        base: u64,
+        text: &str,
+        who: &str,
+        patience: Millis,
+    ) -> Result<Change, Rejection> {
+        let section = &section.parse::<Name>().unwrap();
+        let edit = Edit { section, base, text: Some(text), who, why: "as asked" };
+        smol::block_on(operator::apply(self.place(), edit, patience))
+    }
+
+    fn get(&self, section: &str) -> Option<Section> {
+        let name = section.parse().unwrap();
+        smol::block_on(operator::get(self.place(), Some(&name))).unwrap().1.pop()
+    }
+
+    fn history(&self) -> Vec<Change> {
+        smol::block_on(operator::history(self.place(), None, usize::MAX)).unwrap()
+    }
+}
+
+fn team(name: &str, share: u64) -> String {
+    format!("- name: {name}\n  share: {share}\n")
+}
+
+fn target(id: &str, domain: &str, port: u16) -> String {
+    format!("- id: {id}\n  domain: {domain}\n  address: 127.0.0.1:{port}\n")
+}
+
+fn client(store: &Store) -> Arc<Consul> {
+    Arc::new(Consul::new(store.address(), TIMEOUT))
+}
+
+/// A VM's reader, on a thread that lasts as long as the test.
+fn reader<S: platform::Store + 'static>(store: Arc<S>) -> Arc<Holder> {
+    let holder = Arc::new(Holder::default());
+    let theirs = Arc::clone(&holder);
+    thread::spawn(move || {
+        smol::block_on(config::watch(&theirs, &*store, PREFIX, Millis::from_secs(1)));
+    });
+    holder
+}
+
+#[test]
+fn no_change_is_lost_or_doubled_when_eight_operators_race() {
+    const OPERATORS: u64 = 8;
+    const CHANGES: u64 = 200;
+    let store = Store::start();
+    let operators = (0..OPERATORS).map(|number| {
+        let desk = Desk::new(&store);
+        thread::spawn(move || {
+            let (who, own) = (format!("op-{number}"), format!("teams/{number}"));
+            let mut accepted = Vec::new();
+            let mut conflicts = 0;
+            for step in 0..CHANGES {
+                let shared = step % 4 == 3;
+                let (section, name) =
+                    if shared { ("teams/all", "all") } else { (own.as_str(), own.as_str()) };
+                loop {
+                    let base = desk.get(section).map_or(0, |now| now.reference.version);
+                    match desk.apply(section, base, &team(name, number * CHANGES + step + 1), &who)
+                    {
+                        Ok(change) => break accepted.push(change),
+                        Err(Rejection::Conflict { current, .. }) => {
+                            assert!(shared, "a conflict on a section of one's own");
+                            assert!(current.unwrap().who.starts_with("op-"));
+                            conflicts += 1;
+                        }
+                        Err(other) => panic!("{other}"),
+                    }
+                }
+            }
+            (accepted, conflicts)
+        })
+    });
+    let operators = operators.collect::<Vec<_>>();
+    let ended = operators.into_iter().map(|thread| thread.join().unwrap()).collect::<Vec<_>>();
+    let conflicts = ended.iter().map(|(_, conflicts)| conflicts).sum::<u64>();
+    let accepted = ended.into_iter().flat_map(|(accepted, _)| accepted);
+    let accepted = accepted.map(|change| (change.version, change)).collect::<BTreeMap<_, _>>();
+    let desk = Desk::new(&store);
+    let history = desk.history();
+    println!("conflicts={conflicts} calls={:?}", store.seen());
+    assert_eq!(accepted.len() as u64, OPERATORS * CHANGES);
+    assert!(history.iter().rev().eq(accepted.values()), "the history differs from what was told");
+    assert!(accepted.keys().copied().eq(1..=OPERATORS * CHANGES));
+    for (name, last) in accepted.values().map(|change| (&change.section, change)) {
+        let versions = accepted.values().filter(|change| change.section == *name);
+        let versions = versions.map(|change| change.section_version).collect::<Vec<_>>();
+        assert!(versions.iter().copied().eq(1..=versions.len() as u64), "{name}: {versions:?}");
+        if last.section_version == versions.len() as u64 {
+            let text = desk.get(&name.to_string()).unwrap().text;
+            assert_eq!(config::Hash::of(&text), last.hash.unwrap());
+        }
+    }
+    store.close();
+}
+
+#[test]
+fn an_old_base_is_a_conflict_that_names_who() {
+    let store = Store::start();
+    let desk = Desk::new(&store);
+    desk.apply("teams/desk", 0, &team("desk", 1), "ana").unwrap();
+    desk.apply("teams/desk", 1, &team("desk", 2), "ben").unwrap();
+    desk.apply("teams/fit", 0, &team("fit", 2), "eva").unwrap();
+    for base in [0, 1] {
+        let refused = desk.apply("teams/desk", base, &team("desk", 3), "ana").unwrap_err();
+        let text = refused.to_string();
+        assert!(text.contains("version 2 by ben at 20") && text.contains("--base 2"), "{text}");
+    }
+    assert_eq!(desk.history().len(), 3);
+    store.close();
+}
+
+#[test]
+fn a_lost_answer_is_settled_as_accepted_once() {
+    let store = Store::start();
+    let desk = Desk::new(&store);
+    for (change, lost) in [1, 2, 1, 2].into_iter().enumerate() {
+        store.lose(lost);
+        let base = change as u64;
+        let accepted = desk.apply("teams/desk", base, &team("desk", base + 1), "ana").unwrap();
+        assert_eq!(accepted.section_version, base + 1);
+        store.lose(0);
+    }
+    let ids = desk.history().into_iter().map(|change| change.id).collect::<BTreeSet<_>>();
+    assert_eq!(ids.len(), 4);
+    assert_eq!(desk.get("teams/desk").unwrap().reference.version, 4);
+    store.close();
+}
+
+#[test]
+fn a_change_asked_for_during_an_outage_is_refused_or_unknown_truthfully() {
+    let store = Store::start();
+    let desk = Desk::new(&store);
+    store.down(true);
+    let refused = desk.apply_within("teams/desk", 0, &team("desk", 1), "ana", Millis(300));
+    assert!(matches!(refused, Err(Rejection::Failed(_))), "{refused:?}");
+    store.down(false);
+    assert!(desk.history().is_empty());
+    store.close();
+}
+
+#[test]
+fn a_stale_store_reverts_nothing() {
+    let store = Store::start();
+    let (desk, holder) = (Desk::new(&store), reader(client(&store)));
+    desk.apply("teams/desk", 0, &team("desk", 1), "ana").unwrap();
+    wait_until("version 1", LIMIT, || holder.version() == 1);
+    store.stale(true);
+    desk.apply_within("teams/desk", 1, &team("desk", 2), "ben", Millis(300)).unwrap();
+    let late = desk.apply_within("teams/desk", 2, &team("desk", 3), "ben", Millis(300));
+    assert!(matches!(late, Err(Rejection::Failed(_))), "{late:?}");
+    let peer = reader(Arc::clone(store.memory()));
+    wait_until("the peer's version 2", LIMIT, || peer.version() == 2);
+    holder.offer(peer.snapshot().since(1)).unwrap();
+    let anew = reader(client(&store));
+    wait_until("the older version", LIMIT, || anew.version() == 1);
+    assert_eq!(anew.offer(peer.snapshot().since(1)), Ok(Offer::Applied));
+    let before = store.seen().watches;
+    wait_until("further answers", LIMIT, || store.seen().watches > before + 4);
+    assert_eq!((holder.version(), anew.version()), (2, 2));
+    store.stale(false);
+    desk.apply("teams/desk", 2, &team("desk", 3), "ben").unwrap();
+    wait_until("version 3", LIMIT, || holder.version() == 3 && anew.version() == 3);
+    assert_eq!(holder.snapshot().document.teams[0].share, 3);
+    store.close();
+}
+
+#[test]
+fn news_between_peers_only_go_forward() {
+    let store = Store::start();
+    let (desk, source) = (Desk::new(&store), reader(client(&store)));
+    let mut news = Vec::new();
+    for step in 0..12 {
+        let section = format!("teams/{}", step % 3);
+        // One section is too long for the head to carry it.
+        let text = team(&section, step + 1) + &"#".repeat(if step % 3 == 0 { 300 } else { 0 });
+        desk.apply(&section, step / 3, &text, "ana").unwrap();
+        wait_until("the change", LIMIT, || source.version() == step + 1);
+        news.extend((0..=step).map(|base| source.snapshot().since(base)));
+    }
+    let last = source.snapshot();
+    for seed in 0..50 {
+        let mut order = news.clone();
+        fastrand::Rng::with_seed(seed).shuffle(&mut order);
+        let holder = Holder::default();
+        for update in order {
+            let (before, version, base) = (holder.version(), update.version, update.base);
+            let expected = if version <= before {
+                Ok(Offer::Old)
+            } else if base > before {
+                Err(Refusal::Gap { held: before })
+            } else {
+                Ok(Offer::Applied)
+            };
+            assert_eq!(holder.offer(update), expected, "seed {seed}");
+            assert!(holder.version() >= before);
+        }
+        assert_eq!(holder.version(), 12, "seed {seed}");
+        assert_eq!(holder.snapshot().document, last.document);
+        assert_eq!(holder.snapshot().since(0), last.since(0));
+    }
+    let mut damaged = last.since(0);
+    damaged.parts[0].text = Some("- name: other".into());
+    assert!(matches!(Holder::default().offer(damaged), Err(Refusal::Damaged(_))));
+    let mut partial = last.since(0);
+    partial.parts.pop();
+    assert_eq!(Holder::default().offer(partial), Err(Refusal::Mismatch));
+    store.close();
+}
+
+#[test]
+fn an_invalid_change_is_refused_with_path_and_remedy() {
+    let store = Store::start();
+    let (desk, holder) = (Desk::new(&store), reader(client(&store)));
+    desk.apply("targets/a", 0, &target("t1", "a", 7001), "ana").unwrap();
+    let large = "# filler\n".repeat(60_000);
+    let cases = [
+        ("targets/b", target("t1", "b", 7002), "targets/b[0].id: \"t1\": the target is in domain"),
+        ("targets/b", target("t2", "b", 7001), "targets/b[0].address: 127.0.0.1:7001: target"),
+        ("targets/b", target("t2", "b", 7002) + "  slots: 0\n", "targets/b[0].slots: 0: use 1"),
+        ("targets/b", target("t2", "b", 7002) + "  slot: 8\n", "targets/b[0].slot"),
+        ("services", "- { name: s, targets: [t9] }".into(), "services[0].targets[0]: \"t9\": no"),
+        ("services", "- { name: s }\n- { name: s }".into(), "services[1].name: s: the name stands"),
+        ("services", "- { name: s, timeout: 5 }".into(), "services[0].timeout"),
+        ("limits", "retries: { share: 7 }".into(), "limits.retries.share: 7: use a share"),
+        ("teams", "- name: [".into(), "teams line 2 column 1: did not find"),
+        ("teams", large, "teams: 540000 bytes: keep it within 524288 bytes"),
+    ];
+    let refused = cases.map(|(section, text, expected)| {
+        let refusal = desk.apply(section, 0, &text, "ana").unwrap_err().to_string();
+        assert!(refusal.contains(expected), "{refusal}\nis not about\n{expected}");
+        refusal
+    });
+    insta::assert_snapshot!(refused.join("\n"));
+    assert!("groups/x".parse::<Name>().is_err() && "limits/x".parse::<Name>().is_err());
+    assert_eq!(desk.history().len(), 1);
+    wait_until("version 1", LIMIT, || holder.version() == 1);
+    store.close();
+}
+
+#[test]
+fn a_target_in_use_can_not_be_removed_but_a_free_section_can() {
+    let store = Store::start();
+    let (desk, holder) = (Desk::new(&store), reader(client(&store)));
+    desk.apply("targets/a", 0, &target("t1", "a", 7001), "ana").unwrap();
+    desk.apply("services", 0, "- { name: s, targets: [t1] }", "ana").unwrap();
+    let remove = |section: &str, base| {
+        let section = &section.parse().unwrap();
+        let edit = Edit { section, base, text: None, who: "ana", why: "gone" };
+        smol::block_on(operator::apply(desk.place(), edit, PATIENCE))
+    };
+    let refused = remove("targets/a", 1).unwrap_err().to_string();
+    assert!(refused.contains("services[0].targets[0]"), "{refused}");
+    assert!(remove("teams", 0).unwrap_err().to_string().contains("no such section"));
+    remove("services", 1).unwrap();
+    remove("targets/a", 1).unwrap();
+    wait_until("the removal", LIMIT, || holder.version() == 4);
+    assert_eq!(*holder.snapshot().document, config::Document::default());
+    let again = desk.apply("targets/a", 2, &target("t1", "a", 7001), "ana").unwrap();
+    assert_eq!(again.section_version, 3);
+    store.close();
+}
+
+#[test]
+fn a_text_gone_from_the_store_changes_nothing_on_the_vms() {
+    let store = Store::start();
+    let (desk, holder) = (Desk::new(&store), reader(client(&store)));
+    let long = team("desk", 1) + &"#".repeat(300);
+    desk.apply("teams/desk", 0, &long, "ana").unwrap();
+    wait_until("version 1", LIMIT, || holder.version() == 1);
+    let key = format!("{PREFIX}/config/section/{}", config::Hash::of(&long));
+    smol::block_on(store.memory().delete(&key)).unwrap();
+    let refused = desk.apply("teams/fit", 0, &team("fit", 1), "ana").unwrap_err().to_string();
+    assert!(refused.contains("section teams/desk") && refused.contains("apply it"), "{refused}");
+    assert_eq!(holder.snapshot().document.teams.len(), 1);
+    desk.apply("teams/desk", 1, &long, "ana").unwrap();
+    desk.apply("teams/fit", 0, &team("fit", 1), "ana").unwrap();
+    wait_until("version 3", LIMIT, || holder.version() == 3);
+    store.close();
+}
+
+#[test]
+fn the_head_of_520_sections_stays_under_the_limit_of_a_value() {
+    let mut head = Head::default();
+    for version in 1..=2000 {
+        drop(head.take_due());
+        let section = format!("teams/{:0>58}", version % 520).parse::<Name>().unwrap();
+        let text = "\n".repeat(256);
+        let change = Change {
+            version,
+            id: "f".repeat(32),
+            section_version: head.version_of(&section) + 1,
+            section,
+            hash: Some(config::Hash::of(&text)),
+            who: "w".repeat(128),
+            at: Millis(u64::MAX >> 11),
+            why: "y".repeat(512),
+        };
+        head.accept(change, Some(&text));
+    }
+    let size = serde_json::to_vec(&head).unwrap().len();
+    println!("head with every field at its longest: {size} bytes");
+    assert!(size < config::TEXT_MAX_BYTES, "{size}");
+}
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -14,7 +14,7 @@
 const WAIT: Millis = Millis::from_secs(30);
 
 fn client(store: &Store) -> Arc<Consul> {
-    Arc::new(Consul::new(&store.url(), TIMEOUT).unwrap())
+    Arc::new(Consul::new(store.address(), TIMEOUT))
 }
 
 #[test]
--- a/tests/testenv/store.rs
+++ b/tests/testenv/store.rs
@@ -134,7 +134,7 @@
     }
 
     /// The state behind it, for looks and changes that are not calls.
-    pub fn memory(&self) -> &Memory {
+    pub fn memory(&self) -> &Arc<Memory> {
         &self.shared.memory
     }
 
