Add submit and status

submit asks again with the same key while an outcome is lost or unknown, and takes a new key only after a refusal that is final for the old one. Once an attempt is in doubt, a later "not run" does not clear it: an entry VM may refuse the second attempt while the first one runs.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod check;
 pub mod cli;
+pub mod client;
 pub mod clock;
 pub mod config;
 pub mod dispatch;
--- a/src/main.rs
+++ b/src/main.rs
@@ -4,6 +4,7 @@
 use std::path::Path;
 
 use gypsumkeel::cli::{self, Command, Input};
+use gypsumkeel::client::{status, submit};
 use gypsumkeel::exit::{self, Exit};
 use gypsumkeel::settings::{Log, Settings};
 use gypsumkeel::{check, logs, serve};
@@ -22,9 +23,9 @@
         Command::Serve { settings } => run_vm(&settings),
         Command::Dev { targets } => run_logged(&Log::default(), || serve::dev(targets)),
         Command::Check { file } => check::run(&file),
-        Command::Submit(_) | Command::Config(_) | Command::Status(_) => {
-            Exit::Failed.because("not there yet; take a newer version")
-        }
+        Command::Submit(words) => submit::run(&words),
+        Command::Status(words) => status::run(&words),
+        Command::Config(_) => Exit::Failed.because("not there yet; take a newer version"),
     }
 }
 
