--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -212,3 +212,13 @@
     [gypsumkeel error]: standard input: line 2 column 1: did not find expected node content at line 2 column 1, while parsing a flow node: mend the YAML there
     ");
 }
+
+#[test]
+fn the_examples_are_valid() {
+    for (name, kind) in
+        [("settings", "settings"), ("brisa", "configuration"), ("association", "configuration")]
+    {
+        let path = format!("{}/examples/{name}.yaml", env!("CARGO_MANIFEST_DIR"));
+        assert_eq!(run(&format!("check {path}")), format!("0\n{path}: valid {kind}\n"));
+    }
+}
