--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod audit;
 pub mod check;
 pub mod cli;
+pub mod client;
 pub mod clock;
 pub mod config;
 pub mod dispatch;
