Put the store's configuration in force and pass it between VMs

A VM watches the head by one waiting call, applies each later version by one pointer swap and tells its peers the number; who lacks it asks for the news since its own.

--- a/src/config/fetch.rs
+++ b/src/config/fetch.rs
@@ -92,13 +92,13 @@
     head: &Head,
     known: &Snapshot,
 ) -> Result<Update, Error> {
-    let parts = head.sections.iter().map(|(name, reference)| async move {
-        let present = reference.hash.and_then(|hash| known.text_with(name, hash));
+    let parts = head.sections.clone().into_iter().map(|(name, reference)| async move {
+        let present = reference.hash.and_then(|hash| known.text_with(&name, hash));
         let text = match present {
             Some(text) => Some(Arc::clone(text)),
-            None => text(store, prefix, name, reference).await?,
+            None => text(store, prefix, &name, &reference).await?,
         };
-        Ok::<_, Error>(Part { name: name.clone(), reference: reference.clone(), text })
+        Ok::<_, Error>(Part { name, reference, text })
     });
     let parts = stream::iter(parts).buffered(READS_AT_ONCE).try_collect::<Vec<_>>().await?;
     let changes = head.changes.iter().cloned().collect();
--- a/src/serve/node.rs
+++ b/src/serve/node.rs
@@ -4,17 +4,17 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use arc_swap::ArcSwap;
 use smol::Timer;
 use smol::channel::{self, Receiver, Sender};
 use smol::future::FutureExt as _;
 
 use crate::clock::{Clock, Millis};
-use crate::config::Document;
+use crate::config::{Document, Holder};
 use crate::dispatch::{Engine, Event, Member, Place, Report, Start};
 use crate::http::server::Traffic;
 use crate::job::{Execution, Failure, Incarnation, Key, Outcome, Prefix, Reason, Spec, Windows};
 use crate::peer::{Handler, Links};
+use crate::platform::Store;
 use crate::runtime;
 use crate::settings::Settings;
 use crate::target::{self, Pools};
@@ -40,12 +40,15 @@
     pub incarnation: Incarnation,
     /// Its links to the other VMs.
     pub links: Arc<Links>,
+    /// The configuration in force.
+    pub holder: Arc<Holder>,
+    /// The platform's store.
+    pub store: Arc<dyn Store>,
     /// What the callers' server is doing.
     pub traffic: Arc<Traffic>,
     clock: Clock,
     core: Mutex<Core>,
     pools: Pools,
-    document: ArcSwap<Document>,
     draining: AtomicBool,
     /// When the ticker will tick next, in milliseconds of the clock.
     next_tick: AtomicU64,
@@ -54,21 +57,27 @@
 
 impl Node {
     /// A VM that has no configuration and no links yet.
-    pub fn new(settings: Settings, incarnation: Incarnation, links: Arc<Links>) -> Self {
+    pub fn new(
+        settings: Settings,
+        incarnation: Incarnation,
+        links: Arc<Links>,
+        store: Arc<dyn Store>,
+        holder: Arc<Holder>,
+    ) -> Self {
         let clock = Clock::start();
         let seed = fastrand::u64(..);
         let engine = Engine::new(incarnation, &settings.domain, seed);
-        let document = Document::default();
-        let core = Core::new(engine, windows_of(&document));
+        let core = Core::new(engine, windows_of(&holder.snapshot().document));
         Self {
             settings,
             incarnation,
             links,
+            holder,
+            store,
             traffic: Arc::default(),
             clock,
             core: Mutex::new(core),
             pools: Pools::new(clock),
-            document: ArcSwap::from_pointee(document),
             draining: AtomicBool::new(false),
             next_tick: AtomicU64::new(0),
             earlier: channel::bounded(1),
@@ -77,7 +86,7 @@
 
     /// The configuration in force.
     pub fn document(&self) -> Arc<Document> {
-        self.document.load_full()
+        Arc::clone(&self.holder.snapshot().document)
     }
 
     /// Whether the VM is being stopped.
@@ -87,22 +96,21 @@
 
     /// Whether the VM takes new jobs.
     pub fn is_ready(&self) -> bool {
-        !self.is_draining() && !self.document.load().targets.is_empty()
+        !self.is_draining() && !self.document().targets.is_empty()
     }
 
     /// A prefix for new keys, and how long it may be used for them.
     pub fn prefix(&self) -> (Prefix, Millis) {
         let window = self.lock().table().window();
-        let rules = windows_of(&self.document.load());
+        let rules = windows_of(&self.document());
         (Prefix { incarnation: self.incarnation, window }, rules.length * rules.kept.div_ceil(2))
     }
 
-    /// Puts a configuration in force.
-    pub fn configure(self: &Arc<Self>, document: Arc<Document>) {
-        self.pools.configure(&document);
-        self.lock().keep(windows_of(&document));
-        self.document.store(Arc::clone(&document));
-        self.handle(Event::Configure(document));
+    /// Hands a configuration to all that go by it.
+    pub fn configure(self: &Arc<Self>, document: &Arc<Document>) {
+        self.pools.configure(document);
+        self.lock().keep(windows_of(document));
+        self.handle(Event::Configure(Arc::clone(document)));
     }
 
     /// Notes which targets the platform marks as leaving.
@@ -284,7 +292,7 @@
 
     /// How long the answer to a submission is waited for.
     fn patience(&self, spec: &Spec) -> Millis {
-        let document = self.document.load();
+        let document = self.document();
         let service = document.services.iter().find(|service| service.name == spec.service);
         let most = document.limits.timeout_max;
         let asked = spec.timeout.or_else(|| service.map(|service| service.timeout)).unwrap_or(most);
@@ -349,5 +357,6 @@
 
     fn changed(self: Arc<Self>) {
         self.refresh_members();
+        self.tell_version();
     }
 }
--- a/src/serve/start.rs
+++ b/src/serve/start.rs
@@ -13,11 +13,12 @@
 use smol::stream::StreamExt as _;
 
 use crate::clock::{Clock, Millis};
-use crate::config::{Document, Service, Target};
+use crate::config::{self, Document, Holder, Service, Snapshot, Target};
 use crate::http::server;
 use crate::invariant;
 use crate::job::Incarnation;
 use crate::peer::{Handler, Links, Rules};
+use crate::platform::{Consul, Memory, Store};
 use crate::runtime;
 use crate::settings::Settings;
 use crate::wire::{Hello, VERSION};
@@ -27,6 +28,9 @@
 /// How often a drain looks whether the last job has ended.
 const DRAIN_STEP: Millis = Millis(20);
 
+/// How long one waiting call to the store may wait.
+const WATCH: Millis = Millis::from_secs(60);
+
 /// Why a VM could not run.
 #[derive(Debug)]
 pub enum Error {
@@ -65,7 +69,8 @@
     invariant::exit_on_panic();
     runtime::start(settings.threads)?;
     smol::block_on(async {
-        let node = start(settings).await?;
+        let store = Arc::new(Consul::new(settings.store.address, settings.store.timeout));
+        let node = start(settings, store, Holder::default()).await?;
         stop(&node).await
     })
 }
@@ -77,13 +82,19 @@
     runtime::start(settings.threads)?;
     smol::block_on(async {
         let document = dev_document(&settings.domain, targets).await?;
-        let node = start(settings).await?;
-        node.configure(Arc::new(document));
+        let store = Arc::new(Memory::new(Clock::start()));
+        let holder = Holder::new(Snapshot::of_document(document));
+        let node = start(settings, store, holder).await?;
+        node.configure(&node.document());
         stop(&node).await
     })
 }
 
-async fn start(settings: Settings) -> Result<Arc<Node>, Error> {
+async fn start(
+    settings: Settings,
+    store: Arc<dyn Store>,
+    holder: Holder,
+) -> Result<Arc<Node>, Error> {
     let callers = listen(settings.listen.callers).await?;
     let peers = listen(settings.listen.peers).await?;
     let incarnation = Incarnation::draw();
@@ -98,9 +109,11 @@
     let heartbeat = settings.heartbeat;
     let rules = Rules { every: heartbeat.every, patience: heartbeat.patience };
     let links = Arc::new(Links::new(hello, rules));
-    let node = Arc::new(Node::new(settings, incarnation, links));
+    let node = Arc::new(Node::new(settings, incarnation, links, store, Arc::new(holder)));
     announce(&callers, &peers)?;
     runtime::spawn(Arc::clone(&node).tick()).detach();
+    runtime::spawn(Arc::clone(&node).follow()).detach();
+    runtime::spawn(watch_config(Arc::clone(&node))).detach();
     runtime::spawn(serve_peers(Arc::clone(&node), peers)).detach();
     runtime::spawn(serve_callers(Arc::clone(&node), callers)).detach();
     let handler = Arc::clone(&node) as Arc<dyn Handler>;
@@ -133,6 +146,11 @@
     invariant!(ended.is_ok(), "the callers' listener failed: {ended:?}");
 }
 
+async fn watch_config(node: Arc<Node>) {
+    let prefix = &node.settings.store.prefix;
+    config::watch(&node.holder, &*node.store, prefix, WATCH).await;
+}
+
 async fn serve_peers(node: Arc<Node>, listener: TcpListener) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
--- a/src/wire/frame.rs
+++ b/src/wire/frame.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::config::Update;
 use crate::dispatch::{Adopted, Adoption, Report, SlotMessage, StartId};
 use crate::job::{Incarnation, Key, Outcome, Spec};
 
@@ -81,6 +82,11 @@
         /// The task.
         adoption: Adoption,
     },
+    /// Tell what has changed in the configuration since a version.
+    Since {
+        /// The version that the caller has.
+        version: u64,
+    },
     /// Tell how a task ended; one that has not started never will.
     Fate {
         /// The caller's number for the attempt.
@@ -117,6 +123,8 @@
     Seen(Seen),
     /// To `Run` and `Fate`.
     Report(Report),
+    /// To `Since`.
+    Update(Update),
 }
 
 /// News that needs no answer.
@@ -124,6 +132,8 @@
 pub enum Note {
     /// On the slots of the domain's targets.
     Slots(SlotMessage),
+    /// The version of the configuration that the sender has.
+    Version(u64),
     /// Where other VMs listen for peers.
     Peers(Vec<SocketAddr>),
 }
