Make the stand-ins' ends definite, and cut a domain off by name

The stand-ins' own test failed in about every second run on a busy machine.

A proxy can now shut out connections by what the connecting end sent first, with the first WebSocket message unmasked, so that a hello's VM name tells which side of a cut it stands on.

--- a/tests/standins.rs
+++ b/tests/standins.rs
@@ -9,16 +9,31 @@
 use gypsumkeel::clock::Millis;
 use gypsumkeel::http::{Answer, Connection, Error, Question};
 use http_types::Method;
-use testenv::{Fault, Ledger, Proxy, Target, Way};
+use testenv::{Fault, Ledger, Proxy, Shut, Target, Way};
+
+/// How long an answer may take that is expected, on a busy machine.
+const PATIENCE: Millis = Millis(10_000);
+
+/// How long silence lasts before it counts as silence.
+const SILENCE: Millis = Millis(300);
 
 async fn send(connection: &mut Connection, id: &str, ms: u64) -> Result<Answer, Error> {
+    send_within(PATIENCE, connection, id, ms).await
+}
+
+async fn send_within(
+    timeout: Millis,
+    connection: &mut Connection,
+    id: &str,
+    ms: u64,
+) -> Result<Answer, Error> {
     let body = format!(r#"{{"id":"{id}","ms":{ms}}}"#);
     let question = Question {
         method: Method::Post,
         path: "/v1/tasks",
         headers: &[("Task-Id", id), ("Service", "holds")],
         body: body.as_bytes(),
-        timeout: Millis(300),
+        timeout,
     };
     connection.ask(&question).await
 }
@@ -28,9 +43,9 @@
     let ledger = Arc::<Ledger>::default();
     let target = Target::start("t", 1, Arc::clone(&ledger));
     smol::block_on(async {
-        let open = || Connection::open(target.address, Millis(1000));
+        let open = || Connection::open(target.address, PATIENCE);
         let (mut one, mut two) = (open().await.unwrap(), open().await.unwrap());
-        let both = smol::future::zip(send(&mut one, "a", 50), send(&mut two, "b", 50)).await;
+        let both = smol::future::zip(send(&mut one, "a", 400), send(&mut two, "b", 400)).await;
         let mut statuses = [both.0.unwrap().status, both.1.unwrap().status];
         statuses.sort_unstable();
         assert_eq!(statuses, [200, 503]);
@@ -42,7 +57,8 @@
             (Fault::DropAnswer, None),
         ] {
             target.set(|mode| mode.fault = fault);
-            let answer = send(&mut open().await.unwrap(), "c", 1).await;
+            let patience = if fault == Fault::Stall { SILENCE } else { PATIENCE };
+            let answer = send_within(patience, &mut open().await.unwrap(), "c", 1).await;
             assert_eq!(answer.ok().map(|answer| answer.status), seen, "{fault:?}");
         }
         target.kill();
@@ -61,15 +77,18 @@
     let target = Target::start("t", 8, Arc::clone(&ledger));
     let proxy = Proxy::start(Some(target.address));
     smol::block_on(async {
-        let open = || Connection::open(proxy.address, Millis(1000));
-        let mut old = open().await.unwrap();
-        assert_eq!(send(&mut old, "a", 0).await.unwrap().status, 200);
+        let open = || Connection::open(proxy.address, PATIENCE);
+        // A reset may come before the request or during it.
+        let fail = async || match open().await {
+            Ok(mut connection) => send(&mut connection, "refused", 0).await.unwrap_err(),
+            Err(error) => error,
+        };
         for (way, starts) in [(Way::Up, 0), (Way::Down, 1)] {
             proxy.heal();
             let mut old = open().await.unwrap();
             send(&mut old, "a", 0).await.unwrap();
             proxy.freeze_open(way, true);
-            let silent = send(&mut old, &format!("{way:?}"), 0).await;
+            let silent = send_within(SILENCE, &mut old, &format!("{way:?}"), 0).await;
             assert!(matches!(silent, Err(Error::Lost(_))), "{silent:?}");
             assert_eq!(ledger.starts(&format!("{way:?}")), starts);
             send(&mut open().await.unwrap(), "new", 0).await.unwrap();
@@ -79,10 +98,10 @@
         send(&mut open().await.unwrap(), "lost", 0).await.unwrap_err();
         assert_eq!((ledger.starts("lost"), proxy.lost()), (1, 1));
         proxy.refuse(true);
-        send(&mut open().await.unwrap(), "refused", 0).await.unwrap_err();
+        fail().await;
         proxy.heal();
-        proxy.refuse_from(|first| first.contains("POST /v1/tasks"));
-        send(&mut open().await.unwrap(), "refused", 0).await.unwrap_err();
+        proxy.shut_out(Shut::Reset, |first| first.contains("POST /v1/tasks"));
+        fail().await;
         assert_eq!(ledger.starts("refused"), 0);
         proxy.heal();
         proxy.delay(Duration::from_millis(20));
--- a/tests/testenv/caller.rs
+++ b/tests/testenv/caller.rs
@@ -92,35 +92,35 @@
     }
 
     /// Takes a fresh prefix.
-    pub async fn keys(&self) -> Result<String, Error> {
+    pub async fn keys(self) -> Result<String, Error> {
         let reply = self.call(Method::Post, "/v1/keys", &[], b"").await?;
         let prefix = reply.body["prefix"].as_str().map(str::to_owned);
         prefix.ok_or_else(|| Error::Lost(format!("no prefix in {reply:?}")))
     }
 
     /// Submits a job and waits for its end.
-    pub async fn submit(&self, key: &str, job: &Job) -> Result<Reply, Error> {
+    pub async fn submit(self, key: &str, job: &Job) -> Result<Reply, Error> {
         let headers = [("Idempotency-Key", key), ("Content-Type", "application/json")];
         self.call(Method::Post, "/v1/jobs", &headers, job.body.to_string().as_bytes()).await
     }
 
     /// Asks how a job stands.
-    pub async fn look(&self, key: &str) -> Result<Reply, Error> {
+    pub async fn look(self, key: &str) -> Result<Reply, Error> {
         self.call(Method::Get, &format!("/v1/jobs/{key}"), &[], b"").await
     }
 
     /// Cancels a job.
-    pub async fn cancel(&self, key: &str) -> Result<Reply, Error> {
+    pub async fn cancel(self, key: &str) -> Result<Reply, Error> {
         self.call(Method::Delete, &format!("/v1/jobs/{key}"), &[], b"").await
     }
 
     /// Asks the VM how it stands.
-    pub async fn status(&self) -> Result<Reply, Error> {
+    pub async fn status(self) -> Result<Reply, Error> {
         self.call(Method::Get, "/v1/status", &[], b"").await
     }
 
     /// Asks whether the VM takes new jobs.
-    pub async fn is_ready(&self) -> bool {
+    pub async fn is_ready(self) -> bool {
         let asked = self.call(Method::Get, "/readyz", &[], b"").await;
         asked.is_ok_and(|reply| reply.status == 200)
     }
--- a/tests/testenv/mod.rs
+++ b/tests/testenv/mod.rs
@@ -13,11 +13,11 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use smol::{Executor, Timer, future};
+use smol::{Executor, Task, Timer, future};
 
 pub use caller::{Caller, Job, Reply};
 pub use process::{Place, Vm};
-pub use proxy::{Proxy, Way};
+pub use proxy::{Proxy, Shut, Way};
 pub use target::{Counts, Fault, Ledger, Mode, Target};
 
 /// How many threads all stand-ins of a test process share.
@@ -36,6 +36,15 @@
     executor
 });
 
+/// Cancels tasks of the stand-ins; when it returns their sockets are closed.
+fn end(tasks: impl IntoIterator<Item = Task<()>>) {
+    future::block_on(async {
+        for task in tasks {
+            task.cancel().await;
+        }
+    });
+}
+
 /// Waits for a condition; fails the test after `limit`.
 #[track_caller]
 pub fn wait_until(what: &str, limit: Duration, mut condition: impl FnMut() -> bool) {
--- a/tests/testenv/proxy.rs
+++ b/tests/testenv/proxy.rs
@@ -11,11 +11,14 @@
 use smol::{Task, Timer};
 use socket2::SockRef;
 
-use super::EXECUTOR;
+use super::{EXECUTOR, end};
 
 /// How often a frozen connection looks whether it may go on.
 const FROZEN_STEP: Duration = Duration::from_millis(5);
 
+/// How much of what a connecting end sends is kept to tell who it is.
+const FIRST_BYTES: usize = 600;
+
 /// The two directions of a connection.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Way {
@@ -33,6 +36,11 @@
 }
 
 impl Freeze {
+    fn set(&self, on: bool) {
+        self.up.store(on, Ordering::Relaxed);
+        self.down.store(on, Ordering::Relaxed);
+    }
+
     fn of(&self, way: Way) -> &AtomicBool {
         match way {
             Way::Up => &self.up,
@@ -41,13 +49,22 @@
     }
 }
 
-/// Which callers of a proxy a cut shuts out, told by the bytes that they send first.
-type Rule = Box<dyn Fn(&str) -> bool + Send>;
+/// How a connection is shut out.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Shut {
+    /// It is reset.
+    Reset,
+    /// It stays open and carries nothing.
+    Silent,
+}
+
+/// Which connections are shut out, told by what the connecting end sent first.
+type Rule = (Shut, Box<dyn Fn(&str) -> bool + Send>);
 
 struct Shared {
     upstream: Mutex<Option<SocketAddr>>,
     refuse: AtomicBool,
-    refuse_from: Mutex<Option<Rule>>,
+    shut_out: Mutex<Option<Rule>>,
     delay_ms: AtomicU64,
     all: Freeze,
     /// Requests that hold this text pass, and their answers are dropped with the connection.
@@ -60,7 +77,7 @@
 struct Link {
     freeze: Arc<Freeze>,
     /// What the connecting end sent first.
-    first: Arc<Mutex<String>>,
+    first: Arc<Mutex<Vec<u8>>>,
     pump: Task<()>,
 }
 
@@ -79,7 +96,7 @@
         let shared = Arc::new(Shared {
             upstream: Mutex::new(upstream),
             refuse: AtomicBool::default(),
-            refuse_from: Mutex::default(),
+            shut_out: Mutex::default(),
             delay_ms: AtomicU64::default(),
             all: Freeze::default(),
             lose: Mutex::default(),
@@ -98,7 +115,8 @@
 
     /// Resets every open connection.
     pub fn cut(&self) {
-        self.shared.links.lock().unwrap().clear();
+        let links = std::mem::take(&mut *self.shared.links.lock().unwrap());
+        end(links.into_iter().map(|link| link.pump));
     }
 
     /// Resets new connections as soon as they are made, or lets them through again.
@@ -106,16 +124,24 @@
         self.shared.refuse.store(on, Ordering::Relaxed);
     }
 
-    /// Resets, now and from now on, the connections whose first bytes meet `rule`.
-    pub fn refuse_from(&self, rule: impl Fn(&str) -> bool + Send + 'static) {
-        self.shared.links.lock().unwrap().retain(|link| !rule(&link.first.lock().unwrap()));
-        *self.shared.refuse_from.lock().unwrap() = Some(Box::new(rule));
+    /// Shuts out, now and from now on, the connections whose first bytes meet `rule`. The first
+    /// WebSocket message counts as unmasked.
+    pub fn shut_out(&self, shut: Shut, rule: impl Fn(&str) -> bool + Send + 'static) {
+        let mut links = self.shared.links.lock().unwrap();
+        match shut {
+            Shut::Reset => links.retain(|link| !rule(&readable(&link.first.lock().unwrap()))),
+            Shut::Silent => {
+                let hit = links.iter().filter(|link| rule(&readable(&link.first.lock().unwrap())));
+                hit.for_each(|link| link.freeze.set(true));
+            }
+        }
+        *self.shared.shut_out.lock().unwrap() = Some((shut, Box::new(rule)));
     }
 
     /// Ends every cut, refusal, freeze, delay and loss.
     pub fn heal(&self) {
         self.refuse(false);
-        *self.shared.refuse_from.lock().unwrap() = None;
+        *self.shared.shut_out.lock().unwrap() = None;
         *self.shared.lose.lock().unwrap() = None;
         self.delay(Duration::ZERO);
         for way in [Way::Up, Way::Down] {
@@ -165,7 +191,7 @@
             continue;
         }
         let freeze = Arc::new(Freeze::default());
-        let first = Arc::<Mutex<String>>::default();
+        let first = Arc::<Mutex<Vec<u8>>>::default();
         let pump = pump(Arc::clone(&shared), stream, Arc::clone(&freeze), Arc::clone(&first));
         let mut links = shared.links.lock().unwrap();
         links.retain(|link| !link.pump.is_finished());
@@ -182,7 +208,7 @@
     shared: Arc<Shared>,
     client: TcpStream,
     freeze: Arc<Freeze>,
-    first: Arc<Mutex<String>>,
+    first: Arc<Mutex<Vec<u8>>>,
 ) {
     let Some(upstream) = *shared.upstream.lock().unwrap() else { return };
     let Ok(server) = TcpStream::connect(upstream).await else { return };
@@ -203,7 +229,7 @@
     shared: &'a Shared,
     freeze: &'a Freeze,
     doomed: &'a AtomicBool,
-    first: &'a Mutex<String>,
+    first: &'a Mutex<Vec<u8>>,
     way: Way,
 }
 
@@ -214,12 +240,10 @@
         let mut chunk = vec![0; 16 << 10];
         loop {
             let read = from.read(&mut chunk).await.unwrap_or(0);
+            let dropped = self.is_dropped(&chunk[..read]);
             self.hold().await;
-            if read == 0 {
-                return false;
-            }
-            if self.is_dropped(&chunk[..read]) {
-                return true;
+            if read == 0 || dropped {
+                return dropped;
             }
             if to.write_all(&chunk[..read]).await.is_err() {
                 return false;
@@ -243,7 +267,7 @@
             Way::Up => {
                 let text = String::from_utf8_lossy(bytes);
                 self.doom(&text);
-                self.is_refused(&text)
+                self.is_refused(bytes)
             }
             Way::Down => {
                 let doomed = self.doomed.load(Ordering::Relaxed);
@@ -261,12 +285,37 @@
         }
     }
 
-    fn is_refused(&self, text: &str) -> bool {
+    fn is_refused(&self, bytes: &[u8]) -> bool {
         let mut first = self.first.lock().unwrap();
-        if !first.is_empty() {
+        if first.len() >= FIRST_BYTES {
             return false;
         }
-        text.clone_into(&mut first);
-        self.shared.refuse_from.lock().unwrap().as_ref().is_some_and(|rule| rule(text))
+        first.extend_from_slice(bytes);
+        let rule = self.shared.shut_out.lock().unwrap();
+        let hit = rule.as_ref().filter(|(_, rule)| rule(&readable(&first)));
+        match hit {
+            Some((Shut::Reset, _)) => true,
+            Some((Shut::Silent, _)) => {
+                self.freeze.set(true);
+                false
+            }
+            None => false,
+        }
+    }
+}
+
+/// What a connecting end sent first, as text: an HTTP head, and a WebSocket message after it unmasked.
+fn readable(bytes: &[u8]) -> String {
+    let head = bytes.windows(4).position(|end| end == b"\r\n\r\n").map_or(bytes.len(), |at| at + 4);
+    let mut text = String::from_utf8_lossy(&bytes[..head]).into_owned();
+    let frame = &bytes[head..];
+    let mask_at = match frame.get(1).map(|length| length & 0x7f) {
+        Some(126) => 4,
+        _ => 2,
+    };
+    if let Some((mask, payload)) = frame.get(mask_at..).and_then(|rest| rest.split_at_checked(4)) {
+        let plain = payload.iter().zip(mask.iter().cycle()).map(|(byte, mask)| byte ^ mask);
+        text.push_str(&String::from_utf8_lossy(&plain.collect::<Vec<_>>()));
     }
+    text
 }
--- a/tests/testenv/target.rs
+++ b/tests/testenv/target.rs
@@ -14,7 +14,7 @@
 use smol::net::{TcpListener, TcpStream};
 use smol::{Task, Timer};
 
-use super::EXECUTOR;
+use super::{EXECUTOR, end};
 
 /// How long a task runs before its target looks again at its speed.
 const STEP_MS: f64 = 20.0;
@@ -142,10 +142,12 @@
         &self.shared.counts
     }
 
-    /// Dies: the port closes, and so does every connection with its task in flight.
+    /// Dies: when this returns the port is closed, and so is every connection with its task in flight.
     pub fn kill(&self) {
-        drop(self.accepting.lock().unwrap().take());
-        self.shared.connections.lock().unwrap().clear();
+        let accepting = self.accepting.lock().unwrap().take();
+        end(accepting);
+        let connections = std::mem::take(&mut *self.shared.connections.lock().unwrap());
+        end(connections);
     }
 
     /// Comes back on the same port.
