--- a/tests/testenv/process.rs
+++ b/tests/testenv/process.rs
@@ -82,6 +82,11 @@
         Caller::new(self.callers)
     }
 
+    /// The number of the process.
+    pub fn pid(&self) -> u32 {
+        self.child.lock().unwrap().id()
+    }
+
     /// Ends the process at once.
     pub fn kill(&self) {
         let mut child = self.child.lock().unwrap();
