--- a/tests/standins.rs
+++ b/tests/standins.rs
@@ -9,7 +9,7 @@
 use gypsumkeel::clock::Millis;
 use gypsumkeel::http::{Answer, Connection, Error, Question};
 use http_types::Method;
-use testenv::{Fault, Ledger, Proxy, Shut, Target, Way};
+use testenv::{Fault, Ledger, Proxy, Shut, Target, Way, wait_until};
 
 /// How long an answer may take that is expected, on a busy machine.
 const PATIENCE: Millis = Millis(10_000);
@@ -56,6 +56,9 @@
             (Fault::CloseAfterStart, None),
             (Fault::DropAnswer, None),
         ] {
+            // The one slot is free again once the target has seen the end of the stalled connection.
+            let running = || target.counts().running.load(Ordering::Relaxed);
+            wait_until("a free slot", PATIENCE.duration(), || running() == 0);
             target.set(|mode| mode.fault = fault);
             let patience = if fault == Fault::Stall { SILENCE } else { PATIENCE };
             let answer = send_within(patience, &mut open().await.unwrap(), "c", 1).await;
