--- a/src/config/operator.rs
+++ b/src/config/operator.rs
@@ -24,6 +24,9 @@
 /// How often a head that lags behind the base is read again before that counts as a conflict.
 const LAGS_MAX: u32 = 20;
 
+/// The largest document, in bytes; a VM that starts anew takes it from a peer in one frame.
+const DOCUMENT_MAX_BYTES: usize = 8 << 20;
+
 /// The longest name of an operator, in bytes.
 const WHO_MAX_BYTES: usize = 128;
 
@@ -215,7 +218,7 @@
     tried: Vec<u64>,
     lags: u32,
     text_written: bool,
-    bodies: BTreeMap<(Name, Option<Hash>), Body>,
+    bodies: BTreeMap<(Name, Option<Hash>), (Body, usize)>,
 }
 
 impl Attempt<'_> {
@@ -291,12 +294,22 @@
             }
             let text = fetch::text(store, prefix, name, reference).await?.unwrap_or_default();
             let body = Body::parse(name, &text).map_err(Rejection::Invalid)?;
-            self.bodies.insert(key, body);
+            self.bodies.insert(key, (body, text.len()));
         }
-        let others = self.bodies.iter().map(|((name, _), body)| (name, body));
+        let others = self.bodies.iter().map(|((name, _), (body, _))| (name, body));
         let own = self.body.iter().map(|body| (self.edit.section, body));
         section::merge(others.chain(own)).map_err(Rejection::Invalid)?;
-        Ok(())
+        self.check_size()
+    }
+
+    fn check_size(&self) -> Result<(), Rejection> {
+        let others = self.bodies.values().map(|(_, bytes)| bytes).sum::<usize>();
+        let bytes = others + self.edit.text.map_or(0, str::len);
+        if bytes <= DOCUMENT_MAX_BYTES {
+            return Ok(());
+        }
+        let remedy = format!("keep all sections together within {DOCUMENT_MAX_BYTES} bytes");
+        Err(Rejection::Invalid(vec![Fault::new("document", format!("{bytes} bytes"), remedy)]))
     }
 
     async fn write_text(&mut self) -> Result<(), Error> {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod invariant;
 pub mod job;
 pub mod logs;
+pub mod membership;
 pub mod metrics;
 pub mod peer;
 pub mod platform;
--- /dev/null
+++ b/src/membership/lease.rs
@@ -0,0 +1,71 @@
+//! This VM's registration under a lease.
+
+use smol::Timer;
+use smol::future::FutureExt as _;
+
+use crate::clock::Millis;
+use crate::platform::{Error, Store};
+use crate::settings::Lease;
+
+use super::Membership;
+
+/// What the keys of registrations start with.
+pub(super) fn key_prefix(prefix: &str) -> String {
+    format!("{prefix}/vms/")
+}
+
+fn key(membership: &Membership, prefix: &str) -> String {
+    format!("{}{}", key_prefix(prefix), membership.incarnation)
+}
+
+/// Registers this VM and renews its lease for ever.
+///
+/// A lease that lapsed, as while the process was paused, is followed by a new one under the same key. Nothing
+/// else depends on it: who may start a job's tasks is fixed by its key.
+pub async fn keep_lease(membership: &Membership, store: &dyn Store, prefix: &str, lease: Lease) {
+    let key = key(membership, prefix);
+    let mut session = None;
+    loop {
+        match step(membership, store, &key, lease.ttl, session.take()).await {
+            Ok(renewed) => session = renewed,
+            Err(error) => {
+                log::warn!("event=lease-not-renewed reason={:?}", error.to_string());
+            }
+        }
+        let own_changed = membership.own_changed.listen();
+        let jitter = Millis(fastrand::u64(0..=lease.renew.0 / 10));
+        let due = async {
+            Timer::after((lease.renew - jitter).duration()).await;
+        };
+        due.or(own_changed).await;
+    }
+}
+
+/// Renews the session, or opens one, and registers if need be. `None` if the session is gone.
+async fn step(
+    membership: &Membership,
+    store: &dyn Store,
+    key: &str,
+    ttl: Millis,
+    session: Option<String>,
+) -> Result<Option<String>, Error> {
+    let renewed = match session {
+        Some(id) => store.renew_session(&id).await?.then_some(id),
+        None => None,
+    };
+    let (session, is_new) = match renewed {
+        Some(id) => (id, false),
+        None => (store.open_session(ttl).await?, true),
+    };
+    if is_new || !membership.is_registered() {
+        let value = serde_json::to_vec(&*membership.own());
+        let value = value.expect("a registration has string keys only");
+        store.acquire(key, value, &session).await?;
+    }
+    Ok(Some(session))
+}
+
+/// Takes this VM's registration out of the store at the end of a planned stop.
+pub async fn leave(membership: &Membership, store: &dyn Store, prefix: &str) -> Result<(), Error> {
+    store.delete(&key(membership, prefix)).await
+}
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -3,6 +3,7 @@
 mod calls;
 mod consul;
 mod memory;
+mod pace;
 
 use std::fmt;
 use std::pin::Pin;
@@ -14,6 +15,7 @@
 pub use calls::Calls;
 pub use consul::Consul;
 pub use memory::Memory;
+pub use pace::{Pace, WATCH_WAIT};
 
 /// The store's counter of changes; a watch waits for one past the index it names.
 pub type Index = u64;
