--- a/src/membership/follow.rs
+++ b/src/membership/follow.rs
@@ -15,28 +15,35 @@
 
 /// Follows the registrations below `prefix` for ever.
 pub async fn watch_members(membership: &Membership, store: &dyn Store, prefix: &str, wait: Millis) {
-    let (mut pace, mut epochs) = (Pace::new("members"), Epochs::new());
+    let (mut pace, mut epochs) = (Pace::new("members"), Epochs::default());
+    let clock = Clock::start();
     let key = lease::key_prefix(prefix);
     loop {
         let read = store.list(&key, pace.index(), wait).await;
-        let given = read.map(|read| take_members(membership, &mut epochs, &read));
+        let given = read.map(|read| take_members(membership, &mut epochs, clock.now(), &read));
         pace.settle(given).await;
     }
 }
 
 /// Follows the platform's list `name` for ever.
 pub async fn watch_list(membership: &Membership, store: &dyn Store, name: &str, wait: Millis) {
-    let (mut pace, mut epochs) = (Pace::new("list"), Epochs::new());
+    let (mut pace, mut epochs) = (Pace::new("list"), Epochs::default());
+    let clock = Clock::start();
     loop {
         let read = store.vms(name, pace.index(), wait).await;
-        let given = read.map(|read| take_list(membership, &mut epochs, &read));
+        let given = read.map(|read| take_list(membership, &mut epochs, clock.now(), &read));
         pace.settle::<Error>(given).await;
     }
 }
 
-fn take_members(membership: &Membership, epochs: &mut Epochs, read: &Read<Vec<Entry>>) -> Index {
+fn take_members(
+    membership: &Membership,
+    epochs: &mut Epochs,
+    now: Millis,
+    read: &Read<Vec<Entry>>,
+) -> Index {
     let known = membership.view().members.version;
-    if let Some(version) = epochs.version(known, read.index) {
+    if let Some(version) = epochs.version(now, known, read.index) {
         let members = read.value.iter().filter_map(registration);
         let value = members.map(|member| (member.incarnation, member)).collect::<BTreeMap<_, _>>();
         let members = Listed { version, value };
@@ -45,9 +52,14 @@
     read.index
 }
 
-fn take_list(membership: &Membership, epochs: &mut Epochs, read: &Read<Vec<Vm>>) -> Index {
+fn take_list(
+    membership: &Membership,
+    epochs: &mut Epochs,
+    now: Millis,
+    read: &Read<Vec<Vm>>,
+) -> Index {
     let known = membership.view().leaving.version;
-    if let Some(version) = epochs.version(known, read.index) {
+    if let Some(version) = epochs.version(now, known, read.index) {
         let leaving = read.value.iter().filter(|vm| vm.leaving);
         let value = leaving.map(|vm| vm.id.clone()).collect::<BTreeSet<_>>();
         let leaving = Listed { version, value };
@@ -69,24 +81,18 @@
 }
 
 /// Tells an older answer from a store that was set up anew.
-#[derive(Debug)]
-struct Epochs {
-    clock: Clock,
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Epochs {
     lower_since: Option<Millis>,
 }
 
 impl Epochs {
-    fn new() -> Self {
-        Self { clock: Clock::start(), lower_since: None }
-    }
-
-    /// The version of a read at `index`; `None` if it is no news.
-    fn version(&mut self, known: Version, index: Index) -> Option<Version> {
+    /// The version of a read at `index`, against the one `known`; `None` if it is no news.
+    pub fn version(&mut self, now: Millis, known: Version, index: Index) -> Option<Version> {
         if index >= known.index {
             self.lower_since = None;
             return (index > known.index).then_some(Version { epoch: known.epoch, index });
         }
-        let now = self.clock.now();
         let since = *self.lower_since.get_or_insert(now);
         if now - since < NEW_EPOCH_AFTER {
             return None;
--- a/src/membership/lease.rs
+++ b/src/membership/lease.rs
@@ -26,11 +26,8 @@
     let key = key(membership, prefix);
     let mut session = None;
     loop {
-        match step(membership, store, &key, lease.ttl, session.take()).await {
-            Ok(renewed) => session = renewed,
-            Err(error) => {
-                log::warn!("event=lease-not-renewed reason={:?}", error.to_string());
-            }
+        if let Err(error) = step(membership, store, &key, lease.ttl, &mut session).await {
+            log::warn!("event=lease-not-renewed reason={:?}", error.to_string());
         }
         let own_changed = membership.own_changed.listen();
         let jitter = Millis(fastrand::u64(0..=lease.renew.0 / 10));
@@ -41,28 +38,31 @@
     }
 }
 
-/// Renews the session, or opens one, and registers if need be. `None` if the session is gone.
+/// Renews the session, or opens one, and registers if need be. An error leaves the session for the next step.
 async fn step(
     membership: &Membership,
     store: &dyn Store,
     key: &str,
     ttl: Millis,
-    session: Option<String>,
-) -> Result<Option<String>, Error> {
-    let renewed = match session {
-        Some(id) => store.renew_session(&id).await?.then_some(id),
-        None => None,
-    };
-    let (session, is_new) = match renewed {
-        Some(id) => (id, false),
-        None => (store.open_session(ttl).await?, true),
-    };
+    session: &mut Option<String>,
+) -> Result<(), Error> {
+    if let Some(id) = session
+        && !store.renew_session(id).await?
+    {
+        log::warn!("event=lease-lapsed");
+        *session = None;
+    }
+    let is_new = session.is_none();
+    if is_new {
+        *session = Some(store.open_session(ttl).await?);
+    }
+    let Some(id) = session else { return Ok(()) };
     if is_new || !membership.is_registered() {
         let value = serde_json::to_vec(&*membership.own());
         let value = value.expect("a registration has string keys only");
-        store.acquire(key, value, &session).await?;
+        store.acquire(key, value, id).await?;
     }
-    Ok(Some(session))
+    Ok(())
 }
 
 /// Takes this VM's registration out of the store at the end of a planned stop.
--- a/tests/testenv/store.rs
+++ b/tests/testenv/store.rs
@@ -57,6 +57,8 @@
     pub writes: u64,
     pub watches: u64,
     pub refused: u64,
+    /// Connections that were closed at once while the store was down.
+    pub dropped: u64,
 }
 
 impl Seen {
@@ -88,6 +90,7 @@
     writes: AtomicU64,
     watches: AtomicU64,
     refused: AtomicU64,
+    dropped: AtomicU64,
 }
 
 impl Store {
@@ -113,6 +116,7 @@
             writes: AtomicU64::new(0),
             watches: AtomicU64::new(0),
             refused: AtomicU64::new(0),
+            dropped: AtomicU64::new(0),
         });
         let (stop, stopped) = channel::bounded::<()>(1);
         let server = Arc::clone(&shared);
@@ -190,6 +194,7 @@
             writes: read(&self.shared.writes),
             watches: read(&self.shared.watches),
             refused: read(&self.shared.refused),
+            dropped: read(&self.shared.dropped),
         }
     }
 
@@ -242,6 +247,7 @@
 async fn accept(listener: TcpListener, shared: Arc<Shared>, executor: Arc<Executor<'static>>) {
     while let Ok((stream, _)) = listener.accept().await {
         if shared.faults().down {
+            shared.dropped.fetch_add(1, Ordering::Relaxed);
             continue;
         }
         drop(stream.set_nodelay(true));
