Add the operators' command

get prints the texts to standard output and the versions to standard error, so that a section can be redirected to a file, edited and applied. who and why have to be given: the audit trail keeps both. A conflict exits with 3, an outcome that can't be learnt with 4.

--- a/src/check.rs
+++ b/src/check.rs
@@ -3,7 +3,7 @@
 use serde_norway::Value;
 
 use crate::cli::Input;
-use crate::config::Document;
+use crate::config;
 use crate::exit::{self, Exit};
 use crate::settings::{Fault, Settings, read};
 
@@ -29,7 +29,9 @@
 fn check(text: &str) -> (&'static str, Vec<Fault>) {
     match read::parse(text) {
         Err(fault) => ("YAML", vec![fault]),
-        Ok(root) if is_document(&root) => ("configuration", read::typed::<Document>(&root).1),
+        Ok(root) if is_document(&root) => {
+            ("configuration", config::document(text).err().unwrap_or_default())
+        }
         Ok(_) => ("settings", Settings::parse(text).err().unwrap_or_default()),
     }
 }
--- a/src/cli/help.rs
+++ b/src/cli/help.rs
@@ -164,16 +164,19 @@
 
 Usage: gypsumkeel config get     --store URL [--prefix P] [--section S]
        gypsumkeel config apply   --store URL [--prefix P] --section S --base VERSION --who NAME
-                                 [--why TEXT] FILE|-
+                                 --why TEXT FILE|-
        gypsumkeel config history --store URL [--prefix P] [--section S]
 
 Options:
   --store URL     The platform's store, http://IP:PORT
   --prefix P      What the installation's keys start with, as in the settings [default: gypsumkeel]
-  --section S     targets, services, limits or teams
+  --section S     targets, services, limits or teams, or a part of one such as targets/a
   --base VERSION  The version of the section that was edited; 0 for the first
-  --who NAME      Who makes the change
-  --why TEXT      Why
+  --who NAME      Who makes the change, for the audit trail
+  --why TEXT      Why, for the audit trail
+
+get prints the text to standard output, and the versions to standard error. apply exits with 3 if somebody
+else has changed the section since the base, and with 4 if the outcome can't be learnt.
 ";
 
 const STATUS: &str = "\
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -16,6 +16,7 @@
 pub use self::input::{Input, InputError};
 use self::words::Words;
 use crate::clock::Millis;
+use crate::config::Name;
 
 /// The targets that `dev` runs where no number is given.
 const DEV_TARGETS: usize = 4;
@@ -29,6 +30,9 @@
 /// The key prefix of an installation where none is given, as in the settings.
 const STORE_PREFIX: &str = "gypsumkeel";
 
+/// What fits as a section's name.
+const SECTION_EXPECTED: &str = "targets, services, limits or teams, or a part such as targets/a";
+
 /// What the program is asked to do.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Command {
@@ -91,14 +95,14 @@
     /// Print the document or one section.
     Get {
         /// The section; all where none is given.
-        section: Option<String>,
+        section: Option<Name>,
     },
     /// Replace one section.
     Apply(Apply),
     /// Print the audit trail.
     History {
         /// The section; all where none is given.
-        section: Option<String>,
+        section: Option<Name>,
     },
 }
 
@@ -106,7 +110,7 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Apply {
     /// The section to replace.
-    pub section: String,
+    pub section: Name,
     /// The version that was edited.
     pub base: u64,
     /// Who changes it.
@@ -175,7 +179,7 @@
 }
 
 fn config(words: &Words) -> Result<Command, Error> {
-    let section = words.text("section")?;
+    let section = words.optional("section", SECTION_EXPECTED, |text| text.parse().ok())?;
     let action = match words.word(0) {
         Some("get") => Action::Get { section },
         Some("history") => Action::History { section },
@@ -185,7 +189,7 @@
                 .optional("base", "the version that config get printed", |text| text.parse().ok())?
                 .ok_or_else(|| words.lacks("base"))?,
             who: words.text("who")?.ok_or_else(|| words.lacks("who"))?,
-            why: words.text("why")?.unwrap_or_default(),
+            why: words.text("why")?.ok_or_else(|| words.lacks("why"))?,
             file: words.file("FILE")?,
         }),
         _ => return Err(Error::Action(words.word(0).map(str::to_owned))),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod client;
 pub mod clock;
 pub mod config;
+pub mod configure;
 pub mod dispatch;
 pub mod exit;
 pub mod http;
--- a/src/main.rs
+++ b/src/main.rs
@@ -7,7 +7,7 @@
 use gypsumkeel::client::{status, submit};
 use gypsumkeel::exit::{self, Exit};
 use gypsumkeel::settings::{Log, Settings};
-use gypsumkeel::{check, logs, serve};
+use gypsumkeel::{check, configure, logs, serve};
 
 fn main() -> Exit {
     match cli::parse(env::args_os().skip(1)) {
@@ -25,7 +25,7 @@
         Command::Check { file } => check::run(&file),
         Command::Submit(words) => submit::run(&words),
         Command::Status(words) => status::run(&words),
-        Command::Config(_) => Exit::Failed.because("not there yet; take a newer version"),
+        Command::Config(words) => configure::run(&words),
     }
 }
 
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -1,12 +1,15 @@
 //! The command line of the real binary: words, exit codes and messages.
 
+mod testenv;
+
 use std::io::Write as _;
 use std::process::{Command, Stdio};
 
 use insta::assert_snapshot;
+use testenv::store::Store;
 
 /// Command lines that are refused.
-const BAD_WORDS: [&str; 24] = [
+const BAD_WORDS: [&str; 26] = [
     "",
     "sevre",
     "--sevre",
@@ -30,6 +33,8 @@
     "config get --store http://127.0.0.1:1 teams",
     "config apply --store http://127.0.0.1:1 --section teams --base 1 teams.yaml",
     "config apply --store http://127.0.0.1:1 --section teams --base x --who ana teams.yaml",
+    "config apply --store http://127.0.0.1:1 --section teams --base 1 --who ana teams.yaml",
+    "config get --store http://127.0.0.1:1 --section team",
     "check",
 ];
 
@@ -176,6 +181,12 @@
     $ config apply --store http://127.0.0.1:1 --section teams --base x --who ana teams.yaml
     2
     [gypsumkeel error]: --base can't be "x"; give the version that config get printed
+    $ config apply --store http://127.0.0.1:1 --section teams --base 1 --who ana teams.yaml
+    2
+    [gypsumkeel error]: config needs --why; see gypsumkeel config --help
+    $ config get --store http://127.0.0.1:1 --section team
+    2
+    [gypsumkeel error]: --section can't be "team"; give targets, services, limits or teams, or a part such as targets/a
     $ check
     2
     [gypsumkeel error]: check needs FILE; see gypsumkeel check --help
@@ -222,3 +233,92 @@
         assert_eq!(run(&format!("check {path}")), format!("0\n{path}: valid {kind}\n"));
     }
 }
+
+/// Replaces what differs from run to run: times and the ids of changes.
+fn steady(text: &str) -> String {
+    let word = |word: &str| match word.split_once('=') {
+        Some(("at" | "change", _)) => word.split_once('=').map_or("", |(key, _)| key).to_owned(),
+        _ if word.starts_with("20") && word.ends_with("Z,") => "TIME,".to_owned(),
+        _ => word.to_owned(),
+    };
+    let line = |line: &str| line.split(' ').map(word).collect::<Vec<_>>().join(" ");
+    text.lines().map(line).collect::<Vec<_>>().join("\n")
+}
+
+#[test]
+fn config_changes_sections_and_keeps_their_history() {
+    let store = Store::start();
+    let url = store.url();
+    let config = |words: &str, input: &str| {
+        let (action, words) = words.split_once(' ').unwrap_or((words, ""));
+        steady(&run_with(&format!("config {action} --store {url} {words}"), input))
+    };
+    let first = "apply --section teams --base 0 --who ana --why first -";
+    let steps = [
+        ("get", ""),
+        ("get --section teams", ""),
+        (first, "- { name: planners, share: 3 }\n"),
+        (first, "- { name: hotels }\n"),
+        (
+            "apply --section teams --base 1 --who rui --why more -",
+            "- { name: planners, share: 0 }\n- { nmae: x }",
+        ),
+        ("apply --section teams/b --base 0 --who rui --why more -", "- { name: planners }\n"),
+        ("apply --section teams/b --base 0 --who rui --why more -", "- { name: drivers }\n"),
+        ("get --section teams", ""),
+        ("get", ""),
+        ("history", ""),
+        ("history --section teams", ""),
+    ];
+    let report =
+        steps.map(|(words, input)| format!("$ config {words}\n{}\n", config(words, input)));
+    assert_snapshot!(report.concat(), @r#"
+    $ config get
+    0
+    version=0
+    $ config get --section teams
+    1
+    [gypsumkeel error]: there is no section teams; apply it with --base 0, or get without --section to see what is there
+    $ config apply --section teams --base 0 --who ana --why first -
+    0
+    version=1 at who=ana section=teams section_version=1 change why=first
+    $ config apply --section teams --base 0 --who ana --why first -
+    3
+    [gypsumkeel error]: conflict: section teams was changed to version 1 by ana at TIME, your base is 0; get it, redo your change on it and apply with --base 1
+    $ config apply --section teams --base 1 --who rui --why more -
+    2
+    [gypsumkeel error]: standard input: teams[1].nmae: "x": no such field; use `name` or `share`
+    [gypsumkeel error]: standard input: teams[1].name: missing: add it
+    $ config apply --section teams/b --base 0 --who rui --why more -
+    2
+    [gypsumkeel error]: standard input: teams/b[0].name: planners: the name stands at teams[0].name too; take one of them out
+    $ config apply --section teams/b --base 0 --who rui --why more -
+    0
+    version=2 at who=rui section=teams/b section_version=1 change why=more
+    $ config get --section teams
+    0
+    - { name: planners, share: 3 }
+    version=2
+    section=teams version=1 who=ana at
+    $ config get
+    0
+    # teams
+    - { name: planners, share: 3 }
+    # teams/b
+    - { name: drivers }
+    version=2
+    section=teams version=1 who=ana at
+    section=teams/b version=1 who=rui at
+    $ config history
+    0
+    version=2 at who=rui section=teams/b section_version=1 change why=more
+    version=1 at who=ana section=teams section_version=1 change why=first
+    $ config history --section teams
+    0
+    version=1 at who=ana section=teams section_version=1 change why=first
+    "#);
+    store.down(true);
+    let said = config("get", "");
+    assert!(said.starts_with("1\n[gypsumkeel error]: the store"), "{said}");
+    store.close();
+}
