Send a VM's metrics to StatsD

Submissions and attempts are counted and timed in atomics where they end. All else is counted already by the engine, the store's client and the holder of the configuration, so a task reads those totals once a second before it sends, and the path of a request pays for nothing twice. Metrics that nothing feeds are taken out of the list.

--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -3,7 +3,6 @@
 mod histogram;
 mod names;
 
-use std::fmt;
 use std::io;
 use std::mem;
 use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
@@ -40,6 +39,11 @@
         self.counters[counter as usize].fetch_add(events, Ordering::Relaxed);
     }
 
+    /// Counts up to a total that is kept elsewhere.
+    pub fn raise(&self, counter: Counter, total: u64) {
+        self.counters[counter as usize].fetch_max(total, Ordering::Relaxed);
+    }
+
     /// Sets a level.
     pub fn set(&self, gauge: Gauge, level: u64) {
         self.gauges[gauge as usize].store(level, Ordering::Relaxed);
@@ -61,34 +65,6 @@
     }
 }
 
-/// Why metrics can't be sent.
-#[derive(Debug)]
-pub enum Error {
-    /// No socket or thread could be had.
-    System(io::Error),
-    /// The client refused the address.
-    Client(cadence::MetricError),
-}
-
-impl fmt::Display for Error {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::System(error) => {
-                write!(f, "metrics: {error}; raise the limits of sockets and threads")
-            }
-            Self::Client(error) => write!(f, "metrics: {error}; mend metrics.statsd"),
-        }
-    }
-}
-
-impl std::error::Error for Error {}
-
-impl From<io::Error> for Error {
-    fn from(error: io::Error) -> Self {
-        Self::System(error)
-    }
-}
-
 /// The thread that sends metrics once a second.
 #[derive(Debug)]
 pub struct Reporter {
@@ -97,11 +73,17 @@
 }
 
 impl Reporter {
-    /// Starts to send `metrics` to `statsd` under names that start with `gypsumkeel.<vm>`.
-    pub fn start(metrics: Arc<Metrics>, statsd: SocketAddr, vm: &str) -> Result<Self, Error> {
+    /// Starts to send `metrics` to `statsd` under names that start with `gypsumkeel.<vm>`. Before each
+    /// sending `refresh` may bring in what is counted elsewhere.
+    pub fn start(
+        metrics: Arc<Metrics>,
+        statsd: SocketAddr,
+        vm: &str,
+        refresh: impl Fn(&Metrics) + Send + 'static,
+    ) -> io::Result<Self> {
         let socket = UdpSocket::bind((Ipv4Addr::UNSPECIFIED, 0))?;
         socket.set_nonblocking(true)?;
-        let sink = BufferedUdpMetricSink::from(statsd, socket).map_err(Error::Client)?;
+        let sink = BufferedUdpMetricSink::from(statsd, socket).map_err(io::Error::other)?;
         let client = StatsdClient::from_sink(&format!("gypsumkeel.{}", vm.replace('.', "_")), sink);
         let (stop, stopped) = mpsc::channel();
         let run = move || {
@@ -110,6 +92,7 @@
             while running {
                 let pause = stopped.recv_timeout(SEND_EVERY.duration());
                 running = pause == Err(RecvTimeoutError::Timeout);
+                refresh(&metrics);
                 send(&metrics, &client, &mut sent);
             }
         };
--- a/src/metrics/names.rs
+++ b/src/metrics/names.rs
@@ -26,87 +26,71 @@
 metrics! {
     /// Events that are counted.
     Counter {
-        /// Jobs accepted by this VM as their coordinator.
-        JobsAccepted = "jobs.accepted",
-        /// Submissions that joined a job or got its kept outcome.
-        JobsJoined = "jobs.joined",
-        /// Jobs that ended with every answer.
+        /// Submissions by this VM that were answered whole.
         JobsComplete = "jobs.complete",
-        /// Jobs that ended with a failure after something had been executed, or may have been.
+        /// Submissions by this VM that failed after something was executed, or may have been.
         JobsFailed = "jobs.failed",
-        /// Submissions refused with nothing executed.
+        /// Submissions by this VM that were refused with nothing executed.
         JobsRefused = "jobs.refused",
-        /// Submissions passed on to the VM that their key names.
-        JobsRelayed = "jobs.relayed",
-        /// Keys claimed in the store.
-        KeysClaimed = "keys.claimed",
-        /// Tasks written to a target.
+        /// Jobs refused at the queue.
+        QueueRefused = "queue.refused",
+        /// First attempts at tasks.
         TasksStarted = "tasks.started",
-        /// Tasks that a target refused unstarted.
-        TasksRefused = "tasks.refused",
-        /// Tasks that ran and failed.
+        /// Further attempts at tasks, spare copies among them.
+        TasksAgain = "tasks.again",
+        /// Attempts that a full target refused unstarted.
+        TasksFull = "tasks.full",
+        /// Attempts that never reached a target.
+        TasksUnsent = "tasks.unsent",
+        /// Attempts that ran and failed.
         TasksFailed = "tasks.failed",
-        /// Tasks whose outcome was lost.
+        /// Attempts whose outcome was lost.
         TasksLost = "tasks.lost",
-        /// Further attempts at tasks of repeatable jobs.
-        TasksRetried = "tasks.retried",
-        /// Connections proved by a cheap request before use.
-        TargetsProved = "targets.proved",
-        /// Targets ejected for failing what they start.
-        TargetsEjected = "targets.ejected",
-        /// Frames sent to other VMs.
-        PeerFrames = "peers.frames",
-        /// Bytes sent to other VMs.
-        PeerBytes = "peers.bytes",
-        /// Links to other VMs given up.
-        PeerLost = "peers.lost",
-        /// Calls to the platform's store.
-        StoreCalls = "store.calls",
-        /// Calls to the platform's store that failed.
-        StoreFailed = "store.failed",
-        /// Versions of the configuration put in force.
+        /// Reads of the store that did not wait.
+        StoreReads = "store.reads",
+        /// Writes to the store.
+        StoreWrites = "store.writes",
+        /// Reads of the store that waited for a change.
+        StoreWatches = "store.watches",
+        /// Versions of the configuration that came into force.
         ConfigApplied = "config.applied",
-        /// Requests of callers that could not be read.
-        RequestsRejected = "requests.rejected",
-        /// Connections of callers refused at the limit.
-        ConnectionsRefused = "connections.refused",
+        /// Answers and news older than the version in force.
+        ConfigStale = "config.stale",
+        /// News of the configuration that could not be taken.
+        ConfigRefused = "config.refused",
     }
 }
 
 metrics! {
     /// Levels at the moment of sending.
     Gauge {
-        /// Jobs that this VM coordinates and that have not ended.
+        /// Jobs without an outcome that this VM coordinates.
         JobsRunning = "jobs.running",
         /// Tasks that wait for a slot.
-        TasksQueued = "tasks.queued",
-        /// Tasks at targets.
-        TasksRunning = "tasks.running",
+        TasksWaiting = "tasks.waiting",
+        /// Attempts without an end.
+        TasksOpen = "tasks.open",
         /// Keys in the table.
         KeysHeld = "keys.held",
         /// Open connections of callers.
-        Connections = "connections.open",
+        ConnectionsOpen = "connections.open",
+        /// Requests of callers whose answers are not written yet.
+        RequestsBusy = "requests.busy",
         /// Linked VMs.
         PeersLinked = "peers.linked",
-        /// Targets that may get work.
-        TargetsUsable = "targets.usable",
         /// The version of the configuration in force.
         ConfigVersion = "config.version",
-        /// 1 if the last call to the store was answered, else 0.
-        StoreReachable = "store.reachable",
+        /// 1 while the VM drains, else 0.
+        Draining = "draining",
     }
 }
 
 metrics! {
     /// Times, in milliseconds.
     Timer {
-        /// From the arrival of a job at its coordinator to its end.
+        /// From the arrival of a whole submission at this VM to its answer.
         JobTime = "jobs.time",
-        /// From the start of a task to its answer.
+        /// From the start of an attempt to its end.
         TaskTime = "tasks.time",
-        /// From the arrival of a task to its start.
-        QueueTime = "tasks.wait",
-        /// A call to the store that does not watch.
-        StoreTime = "store.time",
     }
 }
--- /dev/null
+++ b/src/serve/meter.rs
@@ -0,0 +1,67 @@
+//! Brings what a VM counts into its metrics.
+
+use std::io;
+use std::sync::Arc;
+
+use crate::clock::Millis;
+use crate::job::{Execution, Outcome};
+use crate::metrics::{Counter, Gauge, Metrics, Reporter, Timer};
+
+use super::Node;
+
+/// Starts to send the VM's metrics, if its settings say where.
+pub fn start(node: &Arc<Node>) -> io::Result<Option<Reporter>> {
+    let Some(statsd) = node.settings.metrics.statsd else { return Ok(None) };
+    let metrics = Arc::clone(&node.metrics);
+    let counted = Arc::clone(node);
+    let refresh = move |metrics: &Metrics| refresh(&counted, metrics);
+    Reporter::start(metrics, statsd, &node.settings.vm, refresh).map(Some)
+}
+
+/// Notes how a submission ended, `time` after its arrival.
+pub fn submission(metrics: &Metrics, outcome: &Outcome, time: Millis) {
+    metrics.time(Timer::JobTime, time);
+    metrics.count(match outcome {
+        Outcome::Complete(_) => Counter::JobsComplete,
+        Outcome::Failed(failure) if failure.execution == Execution::NotRun => Counter::JobsRefused,
+        Outcome::Failed(_) => Counter::JobsFailed,
+    });
+}
+
+fn refresh(node: &Node, metrics: &Metrics) {
+    let (tasks, keys) = {
+        let core = node.lock();
+        (core.engine().counts(), core.table().len())
+    };
+    let (store, config) = (node.store.calls(), node.holder.counts());
+    for (counter, total) in [
+        (Counter::QueueRefused, tasks.refused),
+        (Counter::TasksStarted, tasks.first_starts),
+        (Counter::TasksAgain, tasks.further_starts),
+        (Counter::TasksFull, tasks.full),
+        (Counter::TasksUnsent, tasks.unsent),
+        (Counter::TasksFailed, tasks.failed),
+        (Counter::TasksLost, tasks.lost),
+        (Counter::StoreReads, store.reads),
+        (Counter::StoreWrites, store.writes),
+        (Counter::StoreWatches, store.watches),
+        (Counter::ConfigApplied, config.applied),
+        (Counter::ConfigStale, config.stale),
+        (Counter::ConfigRefused, config.refused),
+    ] {
+        metrics.raise(counter, total);
+    }
+    for (gauge, level) in [
+        (Gauge::JobsRunning, tasks.jobs),
+        (Gauge::TasksWaiting, tasks.waiting),
+        (Gauge::TasksOpen, tasks.open),
+        (Gauge::KeysHeld, keys as u64),
+        (Gauge::ConnectionsOpen, node.traffic.open() as u64),
+        (Gauge::RequestsBusy, node.traffic.busy() as u64),
+        (Gauge::PeersLinked, node.links.up().len() as u64),
+        (Gauge::ConfigVersion, node.holder.version()),
+        (Gauge::Draining, node.is_draining().into()),
+    ] {
+        metrics.set(gauge, level);
+    }
+}
--- a/src/serve/mod.rs
+++ b/src/serve/mod.rs
@@ -2,6 +2,7 @@
 
 mod calls;
 mod core;
+mod meter;
 mod node;
 mod routes;
 mod start;
--- a/src/serve/node.rs
+++ b/src/serve/node.rs
@@ -13,6 +13,7 @@
 use crate::dispatch::{Engine, Event, Member, Place, Report, Start};
 use crate::http::server::Traffic;
 use crate::job::{Execution, Failure, Incarnation, Key, Outcome, Prefix, Reason, Spec, Windows};
+use crate::metrics::{self, Metrics};
 use crate::peer::{Handler, Links};
 use crate::platform::Store;
 use crate::runtime;
@@ -46,6 +47,8 @@
     pub store: Arc<dyn Store>,
     /// What the callers' server is doing.
     pub traffic: Arc<Traffic>,
+    /// What is counted on the path of a request.
+    pub metrics: Arc<Metrics>,
     clock: Clock,
     core: Mutex<Core>,
     pools: Pools,
@@ -75,6 +78,7 @@
             holder,
             store,
             traffic: Arc::default(),
+            metrics: Arc::default(),
             clock,
             core: Mutex::new(core),
             pools: Pools::new(clock),
@@ -89,6 +93,11 @@
         Arc::clone(&self.holder.snapshot().document)
     }
 
+    /// The time since the VM was started.
+    pub fn now(&self) -> Millis {
+        self.clock.now()
+    }
+
     /// Whether the VM is being stopped.
     pub fn is_draining(&self) -> bool {
         self.draining.load(Ordering::Relaxed)
@@ -266,7 +275,9 @@
         for start in work.starts {
             let node = Arc::clone(self);
             runtime::spawn(async move {
+                let begun = node.clock.now();
                 let report = node.attempt(&start).await;
+                node.metrics.time(metrics::Timer::TaskTime, node.clock.now() - begun);
                 node.handle(Event::Report { start: start.id, report });
             })
             .detach();
--- a/src/serve/routes.rs
+++ b/src/serve/routes.rs
@@ -14,6 +14,7 @@
 use crate::job::{Answer, Execution, Failure, Key, Outcome, Reason, Spec};
 use crate::wire::Seen;
 
+use super::meter;
 use super::node::Node;
 
 /// The header that carries a job's key.
@@ -80,7 +81,9 @@
     let tasks_max = node.document().limits.tasks_max;
     let spec = Spec::parse(&body, tasks_max).map_err(|error| invalid(&error))?;
     let key = parse_key(&key)?;
+    let arrived = node.now();
     let outcome = node.submit(&key, spec).await;
+    meter::submission(&node.metrics, &outcome, node.now() - arrived);
     Ok(answer(&key, &outcome))
 }
 
--- a/src/serve/start.rs
+++ b/src/serve/start.rs
@@ -23,6 +23,7 @@
 use crate::settings::Settings;
 use crate::wire::{Hello, VERSION};
 
+use super::meter;
 use super::node::Node;
 
 /// How often a drain looks whether the last job has ended.
@@ -71,7 +72,12 @@
     smol::block_on(async {
         let store = Arc::new(Consul::new(settings.store.address, settings.store.timeout));
         let node = start(settings, store, Holder::default()).await?;
-        stop(&node).await
+        let reporter = meter::start(&node)?;
+        stop(&node).await?;
+        if let Some(reporter) = reporter {
+            reporter.close();
+        }
+        Ok(())
     })
 }
 
