Go by the store's membership, claims and closing records

VMs register under leases, watch the VM and target lists and pull what a peer has newer. A key without a prefix is claimed in the store, and a claim that can't be settled is refused as unknown: a copy of the submission may have been taken elsewhere. A planned stop leaves a closing record, from which other VMs tell not-run or ran. A submission whose body can't be taken is told what is known of its key in place of a bare not-run, and a connection turned away unread unknown (found by reading).

--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -99,7 +99,7 @@
 
 async fn turn_away(mut stream: TcpStream) {
     let detail = "too many connections; reuse one, or try another VM";
-    let failure = Failure::new(Reason::Unavailable, Execution::NotRun, detail);
+    let failure = Failure::new(Reason::Unavailable, Execution::Unknown, detail);
     drop(stream.write_all(&problem::raw(&failure)).await);
 }
 
@@ -155,7 +155,7 @@
 /// Answers a request whose head can't be read.
 async fn refuse(mut stream: TcpStream, error: &http_types::Error) {
     let detail = format!("the request can't be read: {error}; see docs/API.md");
-    let failure = Failure::new(Reason::Invalid, Execution::NotRun, detail);
+    let failure = Failure::new(Reason::Invalid, Execution::Unknown, detail);
     drop(stream.write_all(&problem::raw(&failure)).await);
     drop(stream.shutdown(std::net::Shutdown::Both));
 }
--- a/src/membership/claim.rs
+++ b/src/membership/claim.rs
@@ -7,7 +7,7 @@
 
 use crate::clock::Millis;
 use crate::job::Prefix;
-use crate::platform::{self, Condition, Store};
+use crate::platform::{self, Condition, Entry, Store};
 
 /// How often the outcome of a claim whose answer was lost is asked for.
 const ATTEMPTS_MAX: u32 = 3;
@@ -68,12 +68,27 @@
     Err(Error::Store(last))
 }
 
+/// The prefix of a claim that was made before, if any.
+pub async fn find(
+    store: &dyn Store,
+    prefix: &str,
+    caller_key: &str,
+) -> Result<Option<Prefix>, Error> {
+    let key = format!("{prefix}/claims/{}", hash(caller_key));
+    let entry = store.get(&key).await.map_err(Error::Store)?;
+    entry.map(|entry| parse(&entry)).transpose()
+}
+
 async fn read(store: &dyn Store, key: &str) -> Result<Prefix, Error> {
     let entry = store.get(key).await.map_err(Error::Store)?;
-    let unreadable = |why: String| Error::Store(platform::Error::Unreadable(why));
-    let entry = entry.ok_or_else(|| unreadable("the claim is gone again".to_owned()))?;
+    let gone = || platform::Error::Unreadable("the claim is gone again".to_owned());
+    parse(&entry.ok_or_else(gone).map_err(Error::Store)?)
+}
+
+fn parse(entry: &Entry) -> Result<Prefix, Error> {
     let claim = serde_json::from_slice::<Claim>(&entry.value);
-    claim.map(|claim| claim.prefix).map_err(|error| unreadable(error.to_string()))
+    let unreadable = |error: serde_json::Error| platform::Error::Unreadable(error.to_string());
+    claim.map(|claim| claim.prefix).map_err(unreadable).map_err(Error::Store)
 }
 
 fn hash(caller_key: &str) -> String {
--- a/src/serve/calls.rs
+++ b/src/serve/calls.rs
@@ -7,8 +7,7 @@
 use crate::clock::Millis;
 use crate::dispatch::{Adopted, Adoption, Event, Report, Start};
 use crate::job::{Execution, Failure, Incarnation, Outcome, Reason};
-use crate::peer::Handler;
-use crate::runtime;
+use crate::membership::View;
 use crate::wire::{Call, FRAME_MAX_BYTES, Note, Reply};
 
 use super::node::Node;
@@ -36,6 +35,7 @@
             Reply::Report(node.adopt(Event::Adopt { adopted, adoption }).await)
         }
         Call::Since { version } => Reply::Update(node.holder.snapshot().since(version)),
+        Call::View => Reply::View(View::clone(&node.membership.view())),
         Call::Fate { start } => {
             let adopted = Adopted { coordinator: from, start };
             Reply::Report(node.adopt(Event::Fate { adopted }).await)
@@ -57,53 +57,11 @@
 pub fn take(node: &Arc<Node>, from: Incarnation, news: Note) {
     match news {
         Note::Slots(message) => node.handle(Event::Slots { from, message }),
-        Note::Version(version) => node.catch_up(from, version),
-        Note::Peers(addresses) => {
-            let handler = Arc::clone(node) as Arc<dyn Handler>;
-            for address in addresses {
-                node.links.know(address, &handler);
-            }
-        }
+        Note::News(theirs) => node.catch_up(from, theirs),
     }
 }
 
 impl Node {
-    /// Asks a peer for the news if it has a later configuration.
-    fn catch_up(self: &Arc<Self>, peer: Incarnation, version: u64) {
-        if version <= self.holder.version() {
-            return;
-        }
-        let node = Arc::clone(self);
-        runtime::spawn(async move {
-            let Some(link) = node.links.wait_for(peer, FATE_PATIENCE).await else { return };
-            let since = Call::Since { version: node.holder.version() };
-            if let Ok(Reply::Update(update)) = link.call(since).await {
-                // A refusal is logged and counted by the holder; the next change gets another chance.
-                drop(node.holder.offer(update));
-            }
-        })
-        .detach();
-    }
-
-    /// Puts each new configuration in force here and tells the other VMs of it.
-    pub(super) async fn follow(self: Arc<Self>) {
-        let mut version = 0;
-        loop {
-            let snapshot = self.holder.after(version).await;
-            version = snapshot.version;
-            self.configure(&snapshot.document);
-            self.tell_version();
-        }
-    }
-
-    /// Tells all other VMs which version of the configuration is in force here.
-    pub(super) fn tell_version(&self) {
-        let version = self.holder.version();
-        for link in self.links.up().values().filter(|_| version > 0) {
-            link.note(Note::Version(version));
-        }
-    }
-
     /// Hands an attempt to a VM of another domain. After a cut its fate is asked; it is never resent.
     pub(super) async fn relay(&self, peer: Incarnation, start: &Start) -> Report {
         let Some(link) = self.links.get(peer) else {
--- a/src/serve/mod.rs
+++ b/src/serve/mod.rs
@@ -2,7 +2,9 @@
 
 mod calls;
 mod core;
+mod keys;
 mod meter;
+mod news;
 mod node;
 mod routes;
 mod start;
--- a/src/serve/node.rs
+++ b/src/serve/node.rs
@@ -1,6 +1,5 @@
 //! One VM: what its tasks share.
 
-use std::collections::BTreeSet;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -10,9 +9,13 @@
 
 use crate::clock::{Clock, Millis};
 use crate::config::{Document, Holder};
-use crate::dispatch::{Engine, Event, Member, Place, Report, Start};
+use crate::dispatch::{Engine, Event, Place, Report, Start};
 use crate::http::server::Traffic;
-use crate::job::{Execution, Failure, Incarnation, Key, Outcome, Prefix, Reason, Spec, Windows};
+use crate::job::{
+    Closing, Execution, Failure, Incarnation, Key, Outcome, Prefix, Reason, Spec, Windows,
+};
+use crate::membership::Membership;
+use crate::membership::claim::Budget;
 use crate::metrics::{self, Metrics};
 use crate::peer::{Handler, Links};
 use crate::platform::Store;
@@ -45,6 +48,8 @@
     pub holder: Arc<Holder>,
     /// The platform's store.
     pub store: Arc<dyn Store>,
+    /// The other VMs, and the targets that leave.
+    pub membership: Membership,
     /// What the callers' server is doing.
     pub traffic: Arc<Traffic>,
     /// What is counted on the path of a request.
@@ -53,6 +58,8 @@
     core: Mutex<Core>,
     pools: Pools,
     draining: AtomicBool,
+    /// What may still be claimed of keys that callers made up.
+    pub(super) claims: Mutex<Budget>,
     /// When the ticker will tick next, in milliseconds of the clock.
     next_tick: AtomicU64,
     earlier: (Sender<()>, Receiver<()>),
@@ -66,6 +73,7 @@
         links: Arc<Links>,
         store: Arc<dyn Store>,
         holder: Arc<Holder>,
+        membership: Membership,
     ) -> Self {
         let clock = Clock::start();
         let seed = fastrand::u64(..);
@@ -77,12 +85,14 @@
             links,
             holder,
             store,
+            membership,
             traffic: Arc::default(),
             metrics: Arc::default(),
             clock,
             core: Mutex::new(core),
             pools: Pools::new(clock),
             draining: AtomicBool::new(false),
+            claims: Mutex::default(),
             next_tick: AtomicU64::new(0),
             earlier: channel::bounded(1),
         }
@@ -122,11 +132,6 @@
         self.handle(Event::Configure(Arc::clone(document)));
     }
 
-    /// Notes which targets the platform marks as leaving.
-    pub fn leaving(self: &Arc<Self>, targets: BTreeSet<String>) {
-        self.handle(Event::Leaving(Arc::new(targets)));
-    }
-
     /// Gives one event to the engine and does what it says.
     pub fn handle(self: &Arc<Self>, event: Event) {
         self.with_core(|core, now, work| core.handle(now, event, work));
@@ -196,25 +201,6 @@
         report.recv().await.unwrap_or_else(gone)
     }
 
-    /// Tells the engine which VMs can be reached.
-    pub fn refresh_members(self: &Arc<Self>) {
-        let own = Member {
-            incarnation: self.incarnation,
-            domain: self.settings.domain.clone(),
-            reachable: !self.is_draining(),
-        };
-        let up = self.links.up();
-        let others = up.values().map(|link| Member {
-            incarnation: link.hello.incarnation,
-            domain: link.hello.domain.clone(),
-            reachable: true,
-        });
-        let mut members = others.collect::<Vec<_>>();
-        members.push(own);
-        members.sort_unstable_by_key(|member| member.incarnation);
-        self.handle(Event::Members(members.into()));
-    }
-
     /// Keeps the engine's time going.
     pub async fn tick(self: Arc<Self>) {
         loop {
@@ -240,6 +226,12 @@
     pub fn drain(&self) {
         self.draining.store(true, Ordering::Relaxed);
         self.lock().close();
+        self.membership.drain();
+    }
+
+    /// Stops for good what a closing record is about to tell.
+    pub fn closing(&self) -> Closing {
+        self.lock().table().closing()
     }
 
     /// How much a stop has to wait for: jobs, requests and questions of other VMs without an answer.
@@ -319,10 +311,16 @@
 
     /// Asks the VM that a key names. The calls are idempotent, so a cut link is followed by another try.
     async fn ask(&self, key: &Key, call: Call, patience: Millis) -> Result<Reply, Failure> {
+        if self.is_missing(key) {
+            let known = self.absent(key).await;
+            if known.reason == Reason::Gone && known.execution != Execution::Unknown {
+                return Err(known);
+            }
+        }
         let asking = async {
             loop {
                 let link = self.links.wait_for(key.prefix.incarnation, LINK_PATIENCE).await;
-                let link = link.ok_or_else(unreachable_coordinator)?;
+                let Some(link) = link else { return Err(self.absent(key).await) };
                 if let Ok(reply) = link.call(call.clone()).await {
                     return Ok(reply);
                 }
@@ -337,7 +335,7 @@
 }
 
 /// How long the answer of the VM that the key names is waited for, and what is said without it.
-fn unreachable_coordinator() -> Failure {
+pub(super) fn unreachable_coordinator() -> Failure {
     let detail = "the VM that the key names can't be reached; submit again later with the same key";
     Failure::new(Reason::Unavailable, Execution::Unknown, detail).retry_after(Millis::from_secs(1))
 }
@@ -368,6 +366,6 @@
 
     fn changed(self: Arc<Self>) {
         self.refresh_members();
-        self.tell_version();
+        self.tell_news();
     }
 }
--- a/src/serve/routes.rs
+++ b/src/serve/routes.rs
@@ -11,7 +11,7 @@
 use smol::io::AsyncReadExt as _;
 
 use crate::http::{problem, server};
-use crate::job::{Answer, Execution, Failure, Key, Outcome, Reason, Spec};
+use crate::job::{Answer, Execution, Failure, Outcome, Reason, Spec};
 use crate::wire::Seen;
 
 use super::meter;
@@ -77,33 +77,44 @@
         let detail = "the header Idempotency-Key is missing; take a prefix from POST /v1/keys";
         Failure::new(Reason::Invalid, Execution::NotRun, detail)
     })?;
-    let body = read_body(node, &mut request).await?;
-    let tasks_max = node.document().limits.tasks_max;
-    let spec = Spec::parse(&body, tasks_max).map_err(|error| invalid(&error))?;
-    let key = parse_key(&key)?;
+    let spec = match read_spec(node, &mut request).await {
+        Ok(spec) => spec,
+        Err(failure) => return Err(node.truthful(&key, failure).await),
+    };
+    let text = key;
+    let key = node.resolve(&text).await?;
     let arrived = node.now();
     let outcome = node.submit(&key, spec).await;
     meter::submission(&node.metrics, &outcome, node.now() - arrived);
-    Ok(answer(&key, &outcome))
+    Ok(answer(&text, &outcome))
+}
+
+async fn read_spec(node: &Node, request: &mut Request) -> Result<Spec, Failure> {
+    let body = read_body(node, request).await?;
+    Spec::parse(&body, node.document().limits.tasks_max)
+        .map_err(|error| Failure::new(Reason::Invalid, Execution::NotRun, error.to_string()))
 }
 
-async fn look(node: &Arc<Node>, key: &str) -> Result<Response, Failure> {
-    let key = parse_key(key)?;
+async fn look(node: &Arc<Node>, text: &str) -> Result<Response, Failure> {
+    let Some(key) = node.find(text).await? else { return Err(never()) };
     match node.look(&key).await? {
-        Seen::Never => {
-            let detail = "no submission with this key has arrived; DELETE it to make sure that none will run";
-            Err(Failure::new(Reason::Missing, Execution::NotRun, detail))
-        }
-        Seen::Running | Seen::Cancelling => Ok(state(StatusCode::Accepted, &key, "running")),
-        Seen::Ended(outcome) => Ok(answer(&key, &outcome)),
+        Seen::Never => Err(never()),
+        Seen::Running | Seen::Cancelling => Ok(state(StatusCode::Accepted, text, "running")),
+        Seen::Ended(outcome) => Ok(answer(text, &outcome)),
     }
 }
 
-async fn cancel(node: &Arc<Node>, key: &str) -> Result<Response, Failure> {
-    let key = parse_key(key)?;
+fn never() -> Failure {
+    let detail =
+        "no submission with this key has arrived; DELETE it to make sure that none will run";
+    Failure::new(Reason::Missing, Execution::NotRun, detail)
+}
+
+async fn cancel(node: &Arc<Node>, text: &str) -> Result<Response, Failure> {
+    let key = node.resolve(text).await?;
     match node.cancel(&key).await? {
         Seen::Cancelling | Seen::Running | Seen::Never => {
-            Ok(state(StatusCode::Accepted, &key, "cancelling"))
+            Ok(state(StatusCode::Accepted, text, "cancelling"))
         }
         Seen::Ended(Outcome::Complete(_)) => {
             let detail = "the job is complete; GET it to read its answers";
@@ -188,15 +199,7 @@
     Ok(body)
 }
 
-fn parse_key(text: &str) -> Result<Key, Failure> {
-    text.parse().map_err(|error| invalid(&error))
-}
-
-fn invalid(error: &dyn std::error::Error) -> Failure {
-    Failure::new(Reason::Invalid, Execution::NotRun, error.to_string())
-}
-
-fn answer(key: &Key, outcome: &Outcome) -> Response {
+fn answer(key: &str, outcome: &Outcome) -> Response {
     match outcome {
         Outcome::Complete(answers) => json(StatusCode::Ok, complete(key, answers)),
         Outcome::Failed(failure) => problem::response(failure),
@@ -204,10 +207,10 @@
 }
 
 /// The answers are JSON texts already, so they are joined as they are.
-fn complete(key: &Key, answers: &[Answer]) -> String {
+fn complete(key: &str, answers: &[Answer]) -> String {
     let size = answers.iter().map(|answer| answer.len() + 1).sum::<usize>();
     let mut body = String::with_capacity(size + 128);
-    let key = serde_json::Value::String(key.to_string());
+    let key = serde_json::Value::from(key);
     let _ = write!(body, r#"{{"key":{key},"state":"complete","answers":["#);
     for (index, answer) in answers.iter().enumerate() {
         if index > 0 {
@@ -219,7 +222,7 @@
     body
 }
 
-fn state(status: StatusCode, key: &Key, state: &str) -> Response {
+fn state(status: StatusCode, key: &str, state: &str) -> Response {
     json(status, json!({ "key": key, "state": state }).to_string())
 }
 
--- a/src/serve/start.rs
+++ b/src/serve/start.rs
@@ -14,11 +14,13 @@
 
 use crate::clock::{Clock, Millis};
 use crate::config::{self, Document, Holder, Service, Snapshot, Target};
+use crate::event;
 use crate::http::server;
 use crate::invariant;
 use crate::job::Incarnation;
+use crate::membership::{self, Membership, Registration, closed};
 use crate::peer::{Handler, Links, Rules};
-use crate::platform::{Consul, Memory, Store};
+use crate::platform::{Consul, Memory, Store, WATCH_WAIT};
 use crate::runtime;
 use crate::settings::Settings;
 use crate::wire::{Hello, VERSION};
@@ -29,8 +31,8 @@
 /// How often a drain looks whether the last job has ended.
 const DRAIN_STEP: Millis = Millis(20);
 
-/// How long one waiting call to the store may wait.
-const WATCH: Millis = Millis::from_secs(60);
+/// The time that the closing record gets even if the drain took all there was.
+const CLOSE_MIN: Millis = Millis(2000);
 
 /// Why a VM could not run.
 #[derive(Debug)]
@@ -112,14 +114,28 @@
         domain: settings.domain.clone(),
         peers: advertised,
     };
+    let membership = Membership::new(Registration {
+        vm: settings.vm.clone(),
+        domain: settings.domain.clone(),
+        region: settings.region.clone(),
+        incarnation,
+        callers: settings.advertise.callers.unwrap_or(callers.local_addr()?),
+        peers: advertised,
+        draining: false,
+    });
     let heartbeat = settings.heartbeat;
     let rules = Rules { every: heartbeat.every, patience: heartbeat.patience };
     let links = Arc::new(Links::new(hello, rules));
-    let node = Arc::new(Node::new(settings, incarnation, links, store, Arc::new(holder)));
+    let node =
+        Arc::new(Node::new(settings, incarnation, links, store, Arc::new(holder), membership));
     announce(&callers, &peers)?;
     runtime::spawn(Arc::clone(&node).tick()).detach();
-    runtime::spawn(Arc::clone(&node).follow()).detach();
+    runtime::spawn(Arc::clone(&node).follow_config()).detach();
+    runtime::spawn(Arc::clone(&node).follow_view()).detach();
     runtime::spawn(watch_config(Arc::clone(&node))).detach();
+    runtime::spawn(watch_members(Arc::clone(&node))).detach();
+    runtime::spawn(watch_list(Arc::clone(&node))).detach();
+    runtime::spawn(keep_lease(Arc::clone(&node))).detach();
     runtime::spawn(serve_peers(Arc::clone(&node), peers)).detach();
     runtime::spawn(serve_callers(Arc::clone(&node), callers)).detach();
     let handler = Arc::clone(&node) as Arc<dyn Handler>;
@@ -154,7 +170,22 @@
 
 async fn watch_config(node: Arc<Node>) {
     let prefix = &node.settings.store.prefix;
-    config::watch(&node.holder, &*node.store, prefix, WATCH).await;
+    config::watch(&node.holder, &*node.store, prefix, WATCH_WAIT).await;
+}
+
+async fn watch_members(node: Arc<Node>) {
+    let prefix = &node.settings.store.prefix;
+    membership::watch_members(&node.membership, &*node.store, prefix, WATCH_WAIT).await;
+}
+
+async fn watch_list(node: Arc<Node>) {
+    let list = &node.settings.store.list;
+    membership::watch_list(&node.membership, &*node.store, list, WATCH_WAIT).await;
+}
+
+async fn keep_lease(node: Arc<Node>) {
+    let prefix = &node.settings.store.prefix;
+    membership::keep_lease(&node.membership, &*node.store, prefix, node.settings.lease).await;
 }
 
 async fn serve_peers(node: Arc<Node>, listener: TcpListener) {
@@ -174,23 +205,40 @@
     }
 }
 
-/// Waits for the signal to stop, then for the jobs in flight.
+/// Waits for the signal to stop, then for all that is in flight, and leaves a closing record.
 async fn stop(node: &Node) -> Result<(), Error> {
     let mut signals = Signals::new([Signal::Term, Signal::Int])?;
     signals.next().await;
-    log::info!("event=drain-begin unfinished={}", node.unfinished());
+    let begun = node.now();
+    event!(info, "drain-begin", unfinished = node.unfinished());
     node.drain();
-    let ended = async {
-        while node.unfinished() > 0 {
-            Timer::after(DRAIN_STEP.duration()).await;
-        }
-    };
+    let left = || (begun + node.settings.drain - node.now()).max(CLOSE_MIN);
+    within(left(), finish(node)).await;
+    event!(info, "drain-end", unfinished = node.unfinished());
+    within(left(), close(node)).await;
+    Ok(())
+}
+
+async fn finish(node: &Node) {
+    while node.unfinished() > 0 {
+        Timer::after(DRAIN_STEP.duration()).await;
+    }
+}
+
+/// Tells the other VMs, by the store, what became of all keys.
+async fn close(node: &Node) {
+    let (store, prefix) = (&*node.store, node.settings.store.prefix.as_str());
+    closed::write(store, prefix, node.incarnation, &node.closing()).await;
+    if let Err(error) = membership::leave(&node.membership, store, prefix).await {
+        event!(warn, "leave-failed", reason = error);
+    }
+}
+
+async fn within(limit: Millis, work: impl Future<Output = ()>) {
     let late = async {
-        Timer::after(node.settings.drain.duration()).await;
+        Timer::after(limit.duration()).await;
     };
-    ended.or(late).await;
-    log::info!("event=drain-end unfinished={}", node.unfinished());
-    Ok(())
+    work.or(late).await;
 }
 
 /// A document with one service and echo targets in this process.
--- a/src/wire/frame.rs
+++ b/src/wire/frame.rs
@@ -8,6 +8,7 @@
 use crate::config::Update;
 use crate::dispatch::{Adopted, Adoption, Report, SlotMessage, StartId};
 use crate::job::{Incarnation, Key, Outcome, Spec};
+use crate::membership::{Versions, View};
 
 /// The version of the frames; a link is refused to a VM that speaks another.
 pub const VERSION: u32 = 1;
@@ -87,6 +88,8 @@
         /// The version that the caller has.
         version: u64,
     },
+    /// Tell which VMs there are and which targets leave.
+    View,
     /// Tell how a task ended; one that has not started never will.
     Fate {
         /// The caller's number for the attempt.
@@ -125,6 +128,8 @@
     Report(Report),
     /// To `Since`.
     Update(Update),
+    /// To `View`.
+    View(View),
 }
 
 /// News that needs no answer.
@@ -132,10 +137,17 @@
 pub enum Note {
     /// On the slots of the domain's targets.
     Slots(SlotMessage),
-    /// The version of the configuration that the sender has.
-    Version(u64),
-    /// Where other VMs listen for peers.
-    Peers(Vec<SocketAddr>),
+    /// How new the sender's configuration and view are.
+    News(News),
+}
+
+/// How new a VM's configuration and view are; who lacks something asks for it.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct News {
+    /// The version of the configuration.
+    pub config: u64,
+    /// The versions of the view's parts.
+    pub view: Versions,
 }
 
 impl Frame {
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -2,4 +2,4 @@
 
 mod frame;
 
-pub use frame::{Call, Error, FRAME_MAX_BYTES, Frame, Hello, Note, Reply, Seen, VERSION};
+pub use frame::{Call, Error, FRAME_MAX_BYTES, Frame, Hello, News, Note, Reply, Seen, VERSION};
