--- a/src/peer/links.rs
+++ b/src/peer/links.rs
@@ -21,6 +21,7 @@
 
 use super::link::Link;
 use super::socket::{self, Broken, Source};
+use super::volume::{Counts, Volume};
 
 /// The pause before the first new try to dial; it doubles up to [`REDIAL_MAX`].
 const REDIAL_MIN: Millis = Millis(50);
@@ -67,6 +68,7 @@
     up: ArcSwap<BTreeMap<Incarnation, Arc<Link>>>,
     dialled: Mutex<HashSet<SocketAddr>>,
     changed: Event,
+    volume: Arc<Volume>,
     /// Answers not yet sent, by link that another VM dialled.
     owed: Mutex<Vec<Weak<AtomicUsize>>>,
 }
@@ -80,6 +82,7 @@
             up: ArcSwap::default(),
             dialled: Mutex::default(),
             changed: Event::new(),
+            volume: Arc::default(),
             owed: Mutex::default(),
         }
     }
@@ -117,6 +120,11 @@
         found.or(late).await
     }
 
+    /// What this VM has sent over its links so far.
+    pub fn volume(&self) -> Counts {
+        self.volume.counts()
+    }
+
     /// The answers that other VMs still wait for.
     pub fn owed(&self) -> usize {
         let mut owed = self.owed.lock().unwrap_or_else(PoisonError::into_inner);
@@ -138,7 +146,8 @@
     /// Serves a connection that another VM dialled, until it ends.
     pub async fn serve(&self, stream: TcpStream, handler: &Arc<dyn Handler>) -> Result<(), Broken> {
         drop(stream.set_nodelay(true));
-        let (mut sink, mut source) = within(self.rules.patience, socket::accept(stream)).await?;
+        let (mut sink, mut source) =
+            within(self.rules.patience, socket::accept(stream, Arc::clone(&self.volume))).await?;
         sink.send(&Frame::Hello(self.own.clone())).await?;
         let hello = within(self.rules.patience, receive_hello(&mut source)).await?;
         let (queue, frames) = channel::bounded(REPLIES_MAX);
@@ -185,7 +194,8 @@
         };
         let stream = within(patience, connect).await?;
         drop(stream.set_nodelay(true));
-        let (mut sink, mut source) = within(patience, socket::dial(stream)).await?;
+        let (mut sink, mut source) =
+            within(patience, socket::dial(stream, Arc::clone(&self.volume))).await?;
         sink.send(&Frame::Hello(self.own.clone())).await?;
         let hello = within(patience, receive_hello(&mut source)).await?;
         if hello.incarnation == self.own.incarnation {
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -3,6 +3,8 @@
 mod link;
 mod links;
 mod socket;
+mod volume;
 
 pub use link::{Cut, Link};
 pub use links::{Handler, Links, Rules};
+pub use volume::{Counts, Volume};
--- a/src/peer/socket.rs
+++ b/src/peer/socket.rs
@@ -1,6 +1,7 @@
 //! A WebSocket that carries frames, split into its two directions.
 
 use std::fmt;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 use async_tungstenite::tungstenite::protocol::WebSocketConfig;
@@ -13,6 +14,8 @@
 
 use crate::wire::{FRAME_MAX_BYTES, Frame};
 
+use super::volume::Volume;
+
 /// Bytes that a link buffers in each direction.
 const BUFFER_BYTES: usize = 16 << 10;
 
@@ -22,7 +25,10 @@
 
 /// The sending half.
 #[derive(Debug)]
-pub struct Sink(SplitSink<WebSocketStream<TcpStream>, Message>);
+pub struct Sink {
+    socket: SplitSink<WebSocketStream<TcpStream>, Message>,
+    volume: Arc<Volume>,
+}
 
 /// Why a link can't go on.
 #[derive(Clone, Debug)]
@@ -56,23 +62,23 @@
 }
 
 /// Makes the WebSocket handshake on a connection that was dialled.
-pub async fn dial(stream: TcpStream) -> Result<(Sink, Source), Broken> {
+pub async fn dial(stream: TcpStream, volume: Arc<Volume>) -> Result<(Sink, Source), Broken> {
     let address = stream.peer_addr().map_err(broken)?;
     let url = format!("ws://{address}/");
     let (socket, _) =
         client_async_with_config(url, stream, Some(config())).await.map_err(broken)?;
-    Ok(split(socket))
+    Ok(split(socket, volume))
 }
 
 /// Makes the WebSocket handshake on a connection that was accepted.
-pub async fn accept(stream: TcpStream) -> Result<(Sink, Source), Broken> {
+pub async fn accept(stream: TcpStream, volume: Arc<Volume>) -> Result<(Sink, Source), Broken> {
     let socket = accept_async_with_config(stream, Some(config())).await.map_err(broken)?;
-    Ok(split(socket))
+    Ok(split(socket, volume))
 }
 
-fn split(socket: WebSocketStream<TcpStream>) -> (Sink, Source) {
-    let (sink, source) = socket.split();
-    (Sink(sink), Source(source))
+fn split(socket: WebSocketStream<TcpStream>, volume: Arc<Volume>) -> (Sink, Source) {
+    let (socket, source) = socket.split();
+    (Sink { socket, volume }, Source(source))
 }
 
 impl Source {
@@ -95,7 +101,7 @@
     /// Sends one frame at once.
     pub async fn send(&mut self, frame: &Frame) -> Result<(), Broken> {
         self.feed(frame).await?;
-        self.0.flush().await.map_err(broken)
+        self.socket.flush().await.map_err(broken)
     }
 
     /// Sends all that comes out of `queue`, as many frames to a write as wait, until it is closed.
@@ -112,7 +118,7 @@
                 replies += usize::from(matches!(frame, Frame::Reply { .. }));
                 self.feed(&frame).await?;
             }
-            self.0.flush().await.map_err(broken)?;
+            self.socket.flush().await.map_err(broken)?;
             owed.fetch_sub(replies, Ordering::Relaxed);
         }
         Ok(())
@@ -120,6 +126,7 @@
 
     async fn feed(&mut self, frame: &Frame) -> Result<(), Broken> {
         let bytes = frame.encode().map_err(broken)?;
-        self.0.feed(Message::Binary(Bytes::from(bytes))).await.map_err(broken)
+        self.volume.count(frame, bytes.len());
+        self.socket.feed(Message::Binary(Bytes::from(bytes))).await.map_err(broken)
     }
 }
--- a/src/serve/routes.rs
+++ b/src/serve/routes.rs
@@ -158,6 +158,9 @@
         "window": window,
         "keys": keys,
         "counts": counts,
+        "config": node.holder.version(),
+        "store": node.store.calls(),
+        "links": node.links.volume(),
         "peers": peers.collect::<Vec<_>>(),
         "targets": targets.collect::<Vec<_>>(),
     })
--- a/src/wire/frame.rs
+++ b/src/wire/frame.rs
@@ -151,6 +151,15 @@
 }
 
 impl Frame {
+    /// Whether the frame keeps the VMs together, and carries no job or task.
+    pub const fn is_control(&self) -> bool {
+        match self {
+            Self::Hello(_) | Self::Beat | Self::Note(_) => true,
+            Self::Call { call, .. } => matches!(call, Call::Since { .. } | Call::View),
+            Self::Reply { reply, .. } => matches!(reply, Reply::Update(_) | Reply::View(_)),
+        }
+    }
+
     /// The frame's bytes.
     pub fn encode(&self) -> Result<Vec<u8>, Error> {
         let mut bytes = Vec::with_capacity(256);
