--- a/src/config/document.rs
+++ b/src/config/document.rs
@@ -149,17 +149,43 @@
     }
 }
 
+/// In which order waiting tasks get slots.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Order {
+    /// Teams by share, and within a team every job alike. What can't end in time is refused early.
+    #[default]
+    Fair,
+    /// First come, first served.
+    Arrival,
+}
+
+/// Which of the targets with a free slot gets a task.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Choice {
+    /// The one that is expected to end it first, by measured speed.
+    #[default]
+    Speed,
+    /// Any.
+    Random,
+}
+
 /// What may wait for a slot.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Queue {
     /// The most tasks that wait on one VM.
     pub tasks_max: usize,
+    /// The order.
+    pub order: Order,
+    /// The choice of target.
+    pub choice: Choice,
 }
 
 impl Default for Queue {
     fn default() -> Self {
-        Self { tasks_max: 20_000 }
+        Self { tasks_max: 20_000, order: Order::default(), choice: Choice::default() }
     }
 }
 
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -11,8 +11,8 @@
 mod watcher;
 
 pub use document::{
-    Document, Ejection, Limits, Queue, Retries, Service, SlotMode, Slots, Target, Team,
-    WindowLimits,
+    Choice, Document, Ejection, Limits, Order, Queue, Retries, Service, SlotMode, Slots, Target,
+    Team, WindowLimits,
 };
 pub use head::{Change, Hash, Head, Reference};
 pub use holder::{Counts, Holder, Offer};
--- a/src/dispatch/engine.rs
+++ b/src/dispatch/engine.rs
@@ -1,37 +1,92 @@
-//! The engine: jobs in flight, the tasks that wait, and the targets they go to.
+//! The engine: takes events, keeps the state of one VM's decisions, and gives out actions.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use fastrand::Rng;
 
 use crate::clock::Millis;
-use crate::config::{Document, Service};
-use crate::job::{self, Execution, Failure, Incarnation, Job, Outcome, Reason, Spec};
+use crate::config::{Document, SlotMode};
+use crate::job::{self, Incarnation, Job};
 
-use super::event::{Action, Counts, Event, Place, Report, Start, StartId};
+use super::budget::Budget;
+use super::event::{Action, Counts, Event, Member, Place, StartId};
+use super::fleet::Fleet;
+use super::guest::Guests;
+use super::queue::{Entry, Queue, Source};
+use super::service::Services;
+use super::slots::Slots;
+use super::timer::{Timer, Timers};
+
+/// How often speeds are centred and unused targets looked at.
+const REVIEW_EVERY: Millis = Millis::from_secs(1);
 
 /// The decisions of one VM.
 #[derive(Debug)]
 pub struct Engine {
-    own: Incarnation,
-    domain: String,
-    random: Rng,
-    document: Arc<Document>,
+    pub(super) own: Incarnation,
+    pub(super) domain: String,
+    pub(super) random: Rng,
+    pub(super) document: Arc<Document>,
     leaving: Arc<BTreeSet<String>>,
-    jobs: BTreeMap<job::Id, Job>,
-    waiting: VecDeque<(job::Id, usize)>,
-    open: BTreeMap<StartId, Attempt>,
-    busy: BTreeMap<Arc<str>, u32>,
-    next_start: StartId,
-    counts: Counts,
+    pub(super) services: Services,
+    pub(super) fleet: Fleet,
+    pub(super) queues: Vec<Queue>,
+    pub(super) jobs: BTreeMap<job::Id, Flight>,
+    pub(super) guests: Guests,
+    pub(super) open: BTreeMap<StartId, Attempt>,
+    pub(super) slots: Slots,
+    /// VMs of other domains.
+    pub(super) others: BTreeMap<Incarnation, Other>,
+    pub(super) retries: Budget,
+    pub(super) timers: Timers,
+    pub(super) next_start: StartId,
+    pub(super) counts: Counts,
+}
+
+/// A job of this VM.
+#[derive(Debug)]
+pub(super) struct Flight {
+    pub job: Job,
+    pub service: usize,
+    pub team: usize,
+    /// The targets on which its tasks failed.
+    pub failed_on: Vec<usize>,
+}
+
+/// An attempt without an end.
+#[derive(Debug)]
+pub(super) struct Attempt {
+    pub source: Source,
+    pub index: usize,
+    pub service: usize,
+    pub site: Site,
+    pub started: Millis,
+    /// The logarithm of the time that the task was expected to last on a mean target.
+    pub expected: f64,
+    pub declared: Option<Millis>,
+    /// When a spare copy is due.
+    pub spare_at: Option<Millis>,
+    /// Whether the target was ejected and this is its trial.
+    pub trial: bool,
 }
 
+/// Where an attempt is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Site {
+    Target(usize),
+    Peer(Incarnation),
+}
+
+/// A VM of another domain that can be reached.
 #[derive(Debug)]
-struct Attempt {
-    job: job::Id,
-    index: usize,
-    target: Arc<str>,
+pub(super) struct Other {
+    pub domain: String,
+    /// Tasks that it was handed and that have no end.
+    pub open: u32,
+    pub blocked_until: Millis,
+    /// Refusals in a row.
+    pub refusals: u32,
 }
 
 impl Engine {
@@ -43,10 +98,16 @@
             random: Rng::with_seed(seed),
             document: Arc::default(),
             leaving: Arc::default(),
+            services: Services::default(),
+            fleet: Fleet::default(),
+            queues: Vec::new(),
             jobs: BTreeMap::new(),
-            waiting: VecDeque::new(),
+            guests: Guests::default(),
             open: BTreeMap::new(),
-            busy: BTreeMap::new(),
+            slots: Slots::new(own),
+            others: BTreeMap::new(),
+            retries: Budget::default(),
+            timers: Timers::default(),
             next_start: 1,
             counts: Counts::default(),
         }
@@ -54,169 +115,220 @@
 
     /// Takes one event at the time `now` and appends what is to be done to `actions`.
     pub fn handle(&mut self, now: Millis, event: Event, actions: &mut Vec<Action>) {
+        self.run_timers(now, actions);
         match event {
-            Event::Configure(document) => self.document = document,
-            Event::Leaving(leaving) => self.leaving = leaving,
+            Event::Configure(document) => self.configure(now, document),
+            Event::Leaving(leaving) => {
+                self.leaving = leaving;
+                self.configure(now, Arc::clone(&self.document));
+            }
+            Event::Members(members) => self.members(now, &members),
             Event::Submit { job, spec } => self.submit(now, job, spec, actions),
             Event::Cancel { job } => self.change(job, actions, Job::cancel),
-            Event::Report { start, report } => self.report(start, report, actions),
-            Event::Adopt { adopted, .. } | Event::Fate { adopted } => {
-                let report = Report::Unsent("tasks of other domains are not taken".to_owned());
-                actions.push(Action::Return { adopted, report });
+            Event::Report { start, report } => self.report(now, start, report, actions),
+            Event::Adopt { adopted, adoption } => self.adopt(now, adopted, adoption, actions),
+            Event::Fate { adopted } => self.fate(now, adopted, actions),
+            Event::Slots { from, message } => {
+                let mut changed = Vec::new();
+                self.slots.take(now, from, message, &mut self.fleet, &mut changed);
+                self.refresh_all(now, &changed);
             }
-            Event::Members(_) | Event::Slots { .. } | Event::Tick => {}
+            Event::Tick => {}
         }
-        self.expire(now, actions);
-        self.start_waiting(now, actions);
+        self.run_pools(now, actions);
+        self.share_slots(now, actions);
     }
 
     /// When the engine wants a [`Event::Tick`] at the latest.
     pub fn wake(&self) -> Option<Millis> {
-        self.jobs.values().filter(|job| job.outcome().is_none()).map(Job::deadline).min()
+        self.timers.next()
     }
 
     /// What happened so far.
     pub fn counts(&self) -> Counts {
+        let ejected = self.fleet.targets.iter().filter(|target| target.health.is_ejected());
         Counts {
             jobs: self.jobs.len() as u64,
-            waiting: self.waiting.len() as u64,
+            waiting: self.queues.iter().map(|queue| queue.len() as u64).sum(),
             open: self.open.len() as u64,
+            ejected: ejected.count() as u64,
             ..self.counts
         }
     }
 
-    fn submit(&mut self, now: Millis, id: job::Id, spec: Arc<Spec>, actions: &mut Vec<Action>) {
-        let Some(service) = self.service(&spec.service) else {
-            let detail = format!("there is no service {:?}; see GET /v1/status", spec.service);
-            let failure = Failure::new(Reason::Invalid, Execution::NotRun, detail);
-            actions.push(Action::End { job: id, outcome: Outcome::Failed(failure) });
-            return;
-        };
-        if self.waiting.len() + spec.tasks.len() > self.document.limits.queue.tasks_max {
-            self.counts.refused += 1;
-            let detail = "too many tasks wait; submit again later under a new key";
-            let failure = Failure::new(Reason::Limited, Execution::NotRun, detail)
-                .retry_after(Millis::from_secs(1));
-            actions.push(Action::End { job: id, outcome: Outcome::Failed(failure) });
-            return;
+    fn configure(&mut self, now: Millis, document: Arc<Document>) {
+        self.document = document;
+        self.fleet.configure(&self.document, &self.domain, &self.leaving);
+        let moved = self.services.configure(&self.document, &self.leaving, &mut self.fleet);
+        self.queues.resize_with(self.fleet.pools.len(), Queue::default);
+        self.slots.recount(&mut self.fleet);
+        self.settle_homes(now);
+        if moved {
+            self.queue_anew();
         }
-        let timeout = spec.timeout.unwrap_or(service.timeout).min(self.document.limits.timeout_max);
-        self.waiting.extend((0..spec.tasks.len()).map(|index| (id, index)));
-        self.jobs.insert(id, Job::new(spec, now + timeout));
+        self.timers.add(now + REVIEW_EVERY, Timer::Review);
     }
 
-    fn service(&self, name: &str) -> Option<&Service> {
-        self.document.services.iter().find(|service| service.name == name)
+    fn members(&mut self, now: Millis, members: &[Member]) {
+        let usable = members.iter().filter(|vm| vm.reachable && vm.incarnation != self.own);
+        let (here, there) = usable.partition::<Vec<_>, _>(|vm| vm.domain == self.domain);
+        let here = here.iter().map(|vm| vm.incarnation).collect();
+        let changed = self.slots.members(&here, &mut self.fleet);
+        self.slots.forget(&members.iter().map(|vm| vm.incarnation).collect());
+        let there = there.iter().map(|vm| (vm.incarnation, vm.domain.as_str()));
+        let there = there.collect::<BTreeMap<_, _>>();
+        self.others.retain(|id, _| there.contains_key(id));
+        for (id, domain) in there {
+            self.others.entry(id).or_insert_with(|| Other::new(domain));
+        }
+        if changed {
+            self.settle_homes(now);
+        }
+    }
+
+    /// Counts every target's home slots anew.
+    fn settle_homes(&mut self, now: Millis) {
+        for number in 0..self.fleet.targets.len() {
+            let target = &mut self.fleet.targets[number];
+            target.home = self.slots.home(target.hash, target.slots);
+            self.fleet.refresh(now, number);
+        }
+    }
+
+    pub(super) fn refresh_all(&mut self, now: Millis, targets: &[usize]) {
+        for &target in targets {
+            self.fleet.refresh(now, target);
+        }
+    }
+
+    /// Moves what waits to the pools that the services use now.
+    fn queue_anew(&mut self) {
+        for pool in 0..self.queues.len() {
+            for source in self.queues[pool].list() {
+                let tasks = self.queues[pool].remove(source);
+                let Some((pool, entry)) = self.entry(source, None) else { continue };
+                self.queues[pool].push(&entry, tasks.into_iter());
+            }
+        }
+    }
+
+    /// How tasks of a source are to be queued, and in which pool.
+    pub(super) fn entry(&self, source: Source, declared: Option<Millis>) -> Option<(usize, Entry)> {
+        let (service, team) = match source {
+            Source::Job(id) => {
+                let flight = self.jobs.get(&id)?;
+                (flight.service, flight.team)
+            }
+            Source::Adopted(adopted) => (self.guests.service(adopted)?, 0),
+        };
+        let service = &self.services.list[service];
+        let size = super::estimate::time(service.size.expected(declared));
+        let share = self.services.share(team);
+        let order = self.document.limits.queue.order;
+        Some((service.pool, Entry { source, team, share, size, order }))
     }
 
     /// Changes a job and gives out its outcome if it has just got one.
-    fn change(&mut self, id: job::Id, actions: &mut Vec<Action>, change: impl FnOnce(&mut Job)) {
-        let Some(job) = self.jobs.get_mut(&id) else { return };
-        let had_ended = job.outcome().is_some();
-        change(job);
-        if let Some(outcome) = job.outcome().filter(|_| !had_ended) {
+    pub(super) fn change(
+        &mut self,
+        id: job::Id,
+        actions: &mut Vec<Action>,
+        change: impl FnOnce(&mut Job),
+    ) {
+        let Some(flight) = self.jobs.get_mut(&id) else { return };
+        let had_ended = flight.job.outcome().is_some();
+        change(&mut flight.job);
+        let Some(outcome) = flight.job.outcome() else { return };
+        if !had_ended {
             actions.push(Action::End { job: id, outcome: outcome.clone() });
+            self.timers.remove(flight.job.deadline(), Timer::Deadline(id));
+            let pool = self.services.list[flight.service].pool;
+            self.queues[pool].remove(Source::Job(id));
         }
-        if job.outcome().is_some() && !job.is_open() {
+        if !self.jobs[&id].job.is_open() {
             self.jobs.remove(&id);
         }
     }
 
-    fn report(&mut self, start: StartId, report: Report, actions: &mut Vec<Action>) {
-        let Some(attempt) = self.open.remove(&start) else { return };
-        let Attempt { job, index, target } = attempt;
-        if let Some(busy) = self.busy.get_mut(&target) {
-            *busy -= 1;
-        }
-        match report {
-            Report::Done(answer) => self.change(job, actions, |job| job.done(index, answer)),
-            Report::Full => {
-                self.counts.full += 1;
-                self.requeue(job, index, actions);
-            }
-            Report::Unsent(_) => {
-                self.counts.unsent += 1;
-                self.requeue(job, index, actions);
-            }
-            Report::Failed(detail) => {
-                self.counts.failed += 1;
-                self.change(job, actions, |job| job.failed(index, true, false, &detail));
-            }
-            Report::Lost(detail) => {
-                self.counts.lost += 1;
-                self.change(job, actions, |job| job.failed(index, false, false, &detail));
+    fn run_timers(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        while let Some(timer) = self.timers.pop(now) {
+            match timer {
+                Timer::Deadline(id) => self.change(id, actions, Job::expire),
+                Timer::Retry(id, index) => self.retry(id, index),
+                Timer::Target(number) => self.fleet.refresh(now, number),
+                Timer::Spare(start) => self.spare(now, start, actions),
+                Timer::Guest(adopted) => self.guest_expired(now, adopted, actions),
+                Timer::GuestEnd(adopted) => self.guests.drop_ended(adopted),
+                Timer::Review => self.review(now),
+                Timer::Pools | Timer::Slots => {}
             }
         }
     }
 
-    fn requeue(&mut self, job: job::Id, index: usize, actions: &mut Vec<Action>) {
-        self.change(job, actions, |job| job.unstarted(index));
-        self.waiting.push_back((job, index));
+    /// Centres the speeds, and picks targets that had no task for long for one.
+    fn review(&mut self, now: Millis) {
+        self.timers.add(now + REVIEW_EVERY, Timer::Review);
+        self.slots.confirm(now);
+        let targets = &mut self.fleet.targets;
+        let measured = targets.iter().filter(|target| target.wanted && !target.speed.is_unknown());
+        let (sum, count) = measured
+            .fold((0.0, 0_u32), |(sum, count), target| (sum + target.speed.slowness, count + 1));
+        let mean = sum / f64::from(count.max(1));
+        self.services.list.iter_mut().for_each(|service| service.size.shift(mean));
+        for target in targets.iter_mut() {
+            target.speed.slowness -= mean;
+            target.look |= target.wanted && target.busy == 0 && target.speed.is_stale(now);
+        }
+        for number in 0..self.fleet.targets.len() {
+            self.fleet.refresh(now, number);
+        }
     }
 
-    fn expire(&mut self, now: Millis, actions: &mut Vec<Action>) {
-        let late = |job: &Job| job.outcome().is_none() && job.deadline() <= now;
-        let ids = self.jobs.iter().filter(|(_, job)| late(job)).map(|(&id, _)| id);
-        for id in ids.collect::<Vec<_>>() {
-            self.change(id, actions, Job::expire);
+    /// Lends, wants, asks back and gives back slots.
+    fn share_slots(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        if self.document.limits.slots.mode != SlotMode::Grants {
+            return;
+        }
+        let hold = self.document.limits.slots.hold;
+        let idle = self.slots.check(now, hold, &mut self.fleet);
+        self.refresh_all(now, &idle);
+        for pool in 0..self.queues.len() {
+            let waiting = self.queues[pool].len();
+            self.slots.wait(now, pool, waiting, &self.fleet);
+            let mut wanted = waiting == 0 && self.slots.is_wanted();
+            while wanted {
+                wanted = !self.slots.lend(now, pool, &mut self.fleet).is_empty();
+            }
+        }
+        self.counts.told += self.slots.flush(now, actions);
+        if let Some(at) = self.slots.wake(now, hold) {
+            self.timers.set_slots(at);
         }
     }
+}
+
+impl Other {
+    fn new(domain: &str) -> Self {
+        Self { domain: domain.to_owned(), open: 0, blocked_until: Millis::ZERO, refusals: 0 }
+    }
+}
 
-    fn start_waiting(&mut self, now: Millis, actions: &mut Vec<Action>) {
-        for _ in 0..self.waiting.len() {
-            let Some((id, index)) = self.waiting.pop_front() else { return };
-            let Some(job) = self.jobs.get(&id).filter(|job| job.may_send(index)) else { continue };
-            let spec = Arc::clone(job.spec());
-            let timeout = job.deadline() - now;
-            let Some(target) = self.choose(&spec.service) else {
-                self.waiting.push_front((id, index));
-                return;
-            };
-            self.start(id, index, &spec, target, timeout, actions);
+impl Site {
+    /// The same as it goes out to the host.
+    pub fn place(self, fleet: &Fleet) -> Place {
+        match self {
+            Self::Target(number) => Place::Target(Arc::clone(&fleet.targets[number].id)),
+            Self::Peer(peer) => Place::Peer(peer),
         }
     }
+}
 
-    fn start(
-        &mut self,
-        id: job::Id,
-        index: usize,
-        spec: &Spec,
-        target: Arc<str>,
-        timeout: Millis,
-        actions: &mut Vec<Action>,
-    ) {
-        let start = self.next_start;
-        self.next_start += 1;
-        self.counts.first_starts += 1;
-        if let Some(job) = self.jobs.get_mut(&id) {
-            job.send(index);
-        }
-        *self.busy.entry(Arc::clone(&target)).or_default() += 1;
-        self.open.insert(start, Attempt { job: id, index, target: Arc::clone(&target) });
-        let run_max = self.service(&spec.service).map_or(timeout, |service| service.run_max);
-        actions.push(Action::Start(Start {
-            id: start,
-            place: Place::Target(target),
-            name: format!("{}.{start}", self.own),
-            service: spec.service.clone(),
-            payload: Arc::clone(&spec.tasks[index].payload),
-            expected: spec.tasks[index].expected,
-            repeatable: spec.repeatable,
-            timeout: run_max,
-        }));
-    }
-
-    /// A random target of the own domain that may run the service and has a free slot.
-    fn choose(&mut self, service: &str) -> Option<Arc<str>> {
-        let allowed = &self.service(service)?.targets;
-        let fit = self.document.targets.iter().filter(|target| {
-            let wanted = allowed.is_empty() || allowed.contains(&target.id);
-            let gone = target.leaving || self.leaving.contains(&target.id);
-            let busy = self.busy.get(target.id.as_str()).copied().unwrap_or(0);
-            wanted && !gone && target.domain == self.domain && busy < target.slots
-        });
-        let fit = fit.map(|target| target.id.as_str()).collect::<Vec<_>>();
-        let chosen = fit.get(self.random.usize(..fit.len().max(1)))?;
-        Some(Arc::from(*chosen))
+impl Attempt {
+    /// The job's number, for an attempt of this VM's own.
+    pub const fn job(&self) -> Option<job::Id> {
+        match self.source {
+            Source::Job(id) => Some(id),
+            Source::Adopted(_) => None,
+        }
     }
 }
--- /dev/null
+++ b/src/dispatch/estimate.rs
@@ -0,0 +1,82 @@
+//! Estimates from measured run times, kept as logarithms so that a factor both ways weighs the same.
+
+use crate::clock::Millis;
+
+/// The smallest weight of a new sample in a running mean.
+const GAIN_MIN: f64 = 1.0 / 64.0;
+/// Samples before a declared time may be believed at all.
+const DECLARED_SAMPLES: u32 = 20;
+/// What a task is taken to last before anything was measured or declared.
+const UNKNOWN: Millis = Millis(100);
+
+/// The running mean and variance of a logarithm.
+#[derive(Clone, Copy, Debug, Default)]
+struct Track {
+    mean: f64,
+    variance: f64,
+    samples: u32,
+}
+
+impl Track {
+    fn add(&mut self, value: f64) {
+        self.samples = self.samples.saturating_add(1);
+        let gain = (1.0 / f64::from(self.samples)).max(GAIN_MIN);
+        let off = value - self.mean;
+        self.mean += gain * off;
+        self.variance += gain * (off * off - self.variance);
+    }
+}
+
+/// How long the tasks of a service last on a target of mean speed.
+///
+/// Declared times are used only once they have predicted the measured ones better than the plain mean.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Size {
+    plain: Track,
+    declared: Track,
+}
+
+impl Size {
+    /// Takes a measured time, with the part that the target's own speed accounts for taken out.
+    pub fn add(&mut self, measured: f64, declared: Option<Millis>) {
+        self.plain.add(measured);
+        if let Some(declared) = declared {
+            self.declared.add(measured - log(declared));
+        }
+    }
+
+    /// The logarithm of the time that a task is expected to last.
+    pub fn expected(&self, declared: Option<Millis>) -> f64 {
+        match declared {
+            Some(declared) if self.believes_declared() => self.declared.mean + log(declared),
+            _ if self.plain.samples > 0 => self.plain.mean,
+            declared => log(declared.unwrap_or(UNKNOWN)),
+        }
+    }
+
+    /// A time that few tasks exceed, two deviations above what is expected.
+    pub fn unlikely(&self, declared: Option<Millis>) -> f64 {
+        let track = if self.believes_declared() { self.declared } else { self.plain };
+        self.expected(declared) + 2.0 * track.variance.sqrt().max(0.2)
+    }
+
+    /// Moves the mean by `offset`, when the targets' speeds are centred anew.
+    pub fn shift(&mut self, offset: f64) {
+        self.plain.mean += offset;
+        self.declared.mean += offset;
+    }
+
+    fn believes_declared(&self) -> bool {
+        self.declared.samples >= DECLARED_SAMPLES && self.declared.variance < self.plain.variance
+    }
+}
+
+/// The logarithm of a time in milliseconds; anything under one counts as one.
+pub fn log(time: Millis) -> f64 {
+    (time.0.max(1) as f64).ln()
+}
+
+/// The time whose logarithm is `value`.
+pub fn time(value: f64) -> Millis {
+    Millis(value.exp().ceil().max(1.0) as u64)
+}
--- a/src/dispatch/event.rs
+++ b/src/dispatch/event.rs
@@ -50,8 +50,89 @@
 }
 
 /// What the VMs of a domain tell each other about slots.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub enum SlotMessage {}
+///
+/// All counts are totals that only grow, so that a message which is lost, late or repeated does no harm.
+/// Fields have one-letter names on the wire, since these messages count against the control traffic.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct SlotMessage {
+    /// How many slots the sender would use now.
+    #[serde(default, rename = "w", skip_serializing_if = "Option::is_none")]
+    pub wish: Option<Wish>,
+    /// Slots that the sender lends.
+    #[serde(default, rename = "l", skip_serializing_if = "Vec::is_empty")]
+    pub loans: Vec<Loan>,
+    /// Lent slots that the sender gives back.
+    #[serde(default, rename = "b", skip_serializing_if = "Vec::is_empty")]
+    pub backs: Vec<Back>,
+}
+
+/// How many slots a VM would use now; stands until its next wish.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(from = "(u32, Vec<(u32, u32)>)", into = "(u32, Vec<(u32, u32)>)")]
+pub struct Wish {
+    /// Grows with each wish of the sender.
+    pub number: u32,
+    /// By the hash of the pool of targets.
+    pub slots: Vec<(u32, u32)>,
+}
+
+/// One target's slots that were lent by one VM to one other.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(from = "(u32, u32, u32)", into = "(u32, u32, u32)")]
+pub struct Loan {
+    /// The hash of the target's id.
+    pub target: u32,
+    /// All that were ever lent.
+    pub lent: u32,
+    /// All that are to be given back as soon as they are idle.
+    pub due: u32,
+}
+
+/// One target's slots that were given back by one VM to one other.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(from = "(u32, u32)", into = "(u32, u32)")]
+pub struct Back {
+    /// The hash of the target's id.
+    pub target: u32,
+    /// All that were ever given back.
+    pub returned: u32,
+}
+
+impl From<(u32, Vec<(u32, u32)>)> for Wish {
+    fn from((number, slots): (u32, Vec<(u32, u32)>)) -> Self {
+        Self { number, slots }
+    }
+}
+
+impl From<Wish> for (u32, Vec<(u32, u32)>) {
+    fn from(wish: Wish) -> Self {
+        (wish.number, wish.slots)
+    }
+}
+
+impl From<(u32, u32, u32)> for Loan {
+    fn from((target, lent, due): (u32, u32, u32)) -> Self {
+        Self { target, lent, due }
+    }
+}
+
+impl From<Loan> for (u32, u32, u32) {
+    fn from(loan: Loan) -> Self {
+        (loan.target, loan.lent, loan.due)
+    }
+}
+
+impl From<(u32, u32)> for Back {
+    fn from((target, returned): (u32, u32)) -> Self {
+        Self { target, returned }
+    }
+}
+
+impl From<Back> for (u32, u32) {
+    fn from(back: Back) -> Self {
+        (back.target, back.returned)
+    }
+}
 
 /// How one attempt ended.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -200,4 +281,16 @@
     pub lost: u64,
     /// Jobs refused at the queue.
     pub refused: u64,
+    /// Spare copies so far.
+    pub spare: u64,
+    /// Trial starts on ejected targets so far.
+    pub trials: u64,
+    /// Targets that are ejected now.
+    pub ejected: u64,
+    /// Tasks handed to VMs of other domains so far.
+    pub over: u64,
+    /// Tasks taken from VMs of other domains so far.
+    pub adopted: u64,
+    /// Messages about slots so far.
+    pub told: u64,
 }
--- /dev/null
+++ b/src/dispatch/guest.rs
@@ -0,0 +1,207 @@
+//! Tasks of other domains' VMs: each is started here at most once, and its fate stays known for a while.
+
+use std::collections::BTreeMap;
+
+use crate::clock::Millis;
+use crate::job::Incarnation;
+
+use super::engine::Engine;
+use super::event::{Action, Adopted, Adoption, Report};
+use super::over::OVER_WAIT;
+use super::queue::Source;
+use super::timer::Timer;
+
+/// How long the end of a task stays known.
+const KEEP: Millis = Millis::from_secs(60);
+/// The most tasks that are known at once.
+const GUESTS_MAX: usize = 50_000;
+
+/// How far a task is.
+#[derive(Debug)]
+pub enum Stage {
+    /// In the queue.
+    Waiting,
+    /// On a target.
+    Running,
+    /// Ended, or fenced.
+    Ended(Report),
+}
+
+/// A task of another domain's VM.
+#[derive(Debug)]
+pub struct Guest {
+    /// What it is.
+    pub adoption: Adoption,
+    /// Its service.
+    pub service: usize,
+    /// When its job's time is up.
+    pub deadline: Millis,
+    stage: Stage,
+}
+
+/// All tasks of other domains' VMs.
+#[derive(Debug, Default)]
+pub struct Guests {
+    known: BTreeMap<Adopted, Guest>,
+    /// Per coordinator, the highest number that was known and is forgotten.
+    forgotten: BTreeMap<Incarnation, u64>,
+}
+
+impl Guests {
+    /// A task that is known.
+    pub fn get(&self, adopted: Adopted) -> Option<&Guest> {
+        self.known.get(&adopted)
+    }
+
+    /// The service of a task that is known.
+    pub fn service(&self, adopted: Adopted) -> Option<usize> {
+        self.known.get(&adopted).map(|guest| guest.service)
+    }
+
+    /// Notes that a task is on a target.
+    pub fn run(&mut self, adopted: Adopted) {
+        if let Some(guest) = self.known.get_mut(&adopted) {
+            guest.stage = Stage::Running;
+        }
+    }
+
+    /// Forgets a task that ended long ago.
+    pub fn drop_ended(&mut self, adopted: Adopted) {
+        self.known.remove(&adopted);
+        let forgotten = self.forgotten.entry(adopted.coordinator).or_default();
+        *forgotten = (*forgotten).max(adopted.start);
+    }
+
+    /// Whether a task that is not known may have been, and may have run.
+    fn may_be_forgotten(&self, adopted: Adopted) -> bool {
+        self.forgotten.get(&adopted.coordinator).is_some_and(|&last| adopted.start <= last)
+    }
+}
+
+impl Engine {
+    pub(super) fn adopt(
+        &mut self,
+        now: Millis,
+        adopted: Adopted,
+        adoption: Adoption,
+        actions: &mut Vec<Action>,
+    ) {
+        if let Some(guest) = self.guests.get(adopted) {
+            if let Stage::Ended(report) = &guest.stage {
+                actions.push(Action::Return { adopted, report: report.clone() });
+            }
+            return;
+        }
+        if self.guests.may_be_forgotten(adopted) {
+            actions.push(Action::Return { adopted, report: forgotten() });
+            return;
+        }
+        let service = self.services.find(&adoption.service);
+        let Some(service) = service.filter(|&service| self.has_room(service)) else {
+            actions.push(Action::Return { adopted, report: Report::Full });
+            return;
+        };
+        self.counts.adopted += 1;
+        let deadline = now + adoption.remaining;
+        let declared = adoption.expected;
+        let guest = Guest { adoption, service, deadline, stage: Stage::Waiting };
+        self.guests.known.insert(adopted, guest);
+        self.timers.add(deadline, Timer::Guest(adopted));
+        if let Some((pool, entry)) = self.entry(Source::Adopted(adopted), declared) {
+            self.queues[pool].push(&entry, 0..1);
+        }
+    }
+
+    /// Tells how a task ended, now or at its end; one that is not on a target never will be.
+    pub(super) fn fate(&mut self, now: Millis, adopted: Adopted, actions: &mut Vec<Action>) {
+        let Some(guest) = self.guests.get(adopted) else {
+            let report = if self.guests.may_be_forgotten(adopted) { forgotten() } else { fenced() };
+            self.guests.known.insert(adopted, Guest::fence(now, report.clone()));
+            self.timers.add(now + KEEP, Timer::GuestEnd(adopted));
+            actions.push(Action::Return { adopted, report });
+            return;
+        };
+        match &guest.stage {
+            Stage::Running => {}
+            Stage::Ended(report) => {
+                actions.push(Action::Return { adopted, report: report.clone() });
+            }
+            Stage::Waiting => self.end_guest(now, adopted, fenced(), actions),
+        }
+    }
+
+    pub(super) fn guest_ended(
+        &mut self,
+        now: Millis,
+        adopted: Adopted,
+        report: Report,
+        actions: &mut Vec<Action>,
+    ) {
+        let not_started = matches!(report, Report::Full | Report::Unsent(_));
+        let Some(guest) = self.guests.known.get_mut(&adopted) else { return };
+        if not_started && guest.deadline > now {
+            guest.stage = Stage::Waiting;
+            self.requeue(Source::Adopted(adopted), 0);
+        } else {
+            self.end_guest(now, adopted, report, actions);
+        }
+    }
+
+    pub(super) fn guest_expired(
+        &mut self,
+        now: Millis,
+        adopted: Adopted,
+        actions: &mut Vec<Action>,
+    ) {
+        let waits = |guest: &Guest| matches!(guest.stage, Stage::Waiting);
+        if self.guests.get(adopted).is_some_and(waits) {
+            let report = Report::Unsent("its time was up before a slot was free".to_owned());
+            self.end_guest(now, adopted, report, actions);
+        }
+    }
+
+    fn end_guest(
+        &mut self,
+        now: Millis,
+        adopted: Adopted,
+        report: Report,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(guest) = self.guests.known.get_mut(&adopted) else { return };
+        guest.stage = Stage::Ended(report.clone());
+        let pool = self.services.list[guest.service].pool;
+        self.timers.remove(guest.deadline, Timer::Guest(adopted));
+        self.queues[pool].remove(Source::Adopted(adopted));
+        self.timers.add(now + KEEP, Timer::GuestEnd(adopted));
+        actions.push(Action::Return { adopted, report });
+    }
+
+    /// Whether a task of another domain would start soon here.
+    fn has_room(&self, service: usize) -> bool {
+        let pool = self.services.list[service].pool;
+        let wait = self.expected_wait(pool);
+        self.guests.known.len() < GUESTS_MAX && wait.is_some_and(|wait| wait * 2 < OVER_WAIT)
+    }
+}
+
+impl Guest {
+    fn fence(now: Millis, report: Report) -> Self {
+        let adoption = Adoption {
+            name: String::new(),
+            service: String::new(),
+            payload: "".into(),
+            expected: None,
+            repeatable: false,
+            remaining: Millis::ZERO,
+        };
+        Self { adoption, service: 0, deadline: now, stage: Stage::Ended(report) }
+    }
+}
+
+fn fenced() -> Report {
+    Report::Unsent("it was not started and never will be".to_owned())
+}
+
+fn forgotten() -> Report {
+    Report::Lost("its end is no longer known".to_owned())
+}
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -1,10 +1,26 @@
 //! The policy: which task starts when, and where. It takes events with the time and returns actions;
 //! it does no I/O, reads no clock and starts no thread, so that any host can drive it.
 
+mod budget;
 mod engine;
+mod estimate;
 mod event;
+mod fleet;
+mod guest;
+mod health;
+mod over;
+mod pool;
+mod queue;
+mod run;
+mod service;
+mod settle;
+mod slots;
+mod submit;
+mod target;
+mod timer;
 
 pub use engine::Engine;
 pub use event::{
-    Action, Adopted, Adoption, Counts, Event, Member, Place, Report, SlotMessage, Start, StartId,
+    Action, Adopted, Adoption, Back, Counts, Event, Loan, Member, Place, Report, SlotMessage,
+    Start, StartId, Wish,
 };
--- /dev/null
+++ b/src/dispatch/run.rs
@@ -0,0 +1,275 @@
+//! Starting what waits: the next task of each queue on the target that is expected to end it first.
+
+use std::sync::Arc;
+
+use crate::clock::Millis;
+use crate::config::{Choice, Order, SlotMode};
+use crate::job::{self, Execution, Failure, Job, Reason};
+
+use super::engine::{Attempt, Engine, Site};
+use super::estimate;
+use super::event::{Action, Start, StartId};
+use super::pool::slowness_of;
+use super::queue::Source;
+use super::timer::Timer;
+
+/// Draws for a target on which the job has not failed yet.
+const DRAWS: usize = 4;
+
+/// What a start needs to know of its task.
+struct Task {
+    service: usize,
+    payload: Arc<str>,
+    declared: Option<Millis>,
+    repeatable: bool,
+    deadline: Millis,
+    name: Option<String>,
+}
+
+impl Engine {
+    /// Starts all that may start now.
+    pub(super) fn run_pools(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        for pool in 0..self.queues.len() {
+            while self.run_next(now, pool, actions) {}
+            self.send_over(now, pool, actions);
+        }
+    }
+
+    fn run_next(&mut self, now: Millis, pool: usize, actions: &mut Vec<Action>) -> bool {
+        if self.fleet.pools[pool].is_full() {
+            return false;
+        }
+        let Some((source, index)) = self.queues[pool].peek() else { return false };
+        let Some(target) = self.choose(pool, source) else { return false };
+        self.queues[pool].pop();
+        if self.is_hopeless(now, source, index, target, actions) {
+            return true;
+        }
+        self.start(now, source, index, Site::Target(target), actions);
+        true
+    }
+
+    fn choose(&mut self, pool: usize, source: Source) -> Option<usize> {
+        if self.document.limits.queue.choice == Choice::Random {
+            return match self.document.limits.slots.mode {
+                SlotMode::Choices => self.fleet.choose_two(pool, &mut self.random),
+                SlotMode::Split | SlotMode::Grants => self.fleet.pools[pool].any(&mut self.random),
+            };
+        }
+        let failed_on = match source {
+            Source::Job(id) => self.jobs.get(&id).map_or(&[][..], |flight| &flight.failed_on),
+            Source::Adopted(_) => &[],
+        };
+        let pool = &self.fleet.pools[pool];
+        let mut chosen = pool.fastest(&mut self.random)?;
+        for _ in 0..DRAWS {
+            if !failed_on.contains(&chosen) {
+                break;
+            }
+            chosen = pool.any(&mut self.random)?;
+        }
+        Some(chosen)
+    }
+
+    /// Ends a job whose next task would end after the job's time, instead of starting it.
+    fn is_hopeless(
+        &mut self,
+        now: Millis,
+        source: Source,
+        index: usize,
+        target: usize,
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        let Source::Job(id) = source else { return false };
+        let Some(flight) = self.jobs.get(&id) else { return true };
+        if self.document.limits.queue.order == Order::Arrival {
+            return false;
+        }
+        let service = &self.services.list[flight.service];
+        let spec = flight.job.spec();
+        let size = service.size.expected(spec.tasks[index].expected).exp();
+        let class = self.fleet.targets[target].speed_class();
+        let mut expected = size * slowness_of(class).min(1.0);
+        if index == 0 && flight.job.tries(0) == 0 {
+            let capacity = self.fleet.pools[service.pool].capacity().max(1.0);
+            expected = size * slowness_of(class) + size * spec.tasks.len() as f64 / capacity;
+        }
+        let left = flight.job.deadline() - now;
+        let hopeless = expected > left.0 as f64;
+        if hopeless {
+            self.change(id, actions, give_up);
+        }
+        hopeless
+    }
+
+    pub(super) fn start(
+        &mut self,
+        now: Millis,
+        source: Source,
+        index: usize,
+        site: Site,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(task) = self.task(source, index) else { return };
+        let id = self.next_start;
+        self.next_start += 1;
+        self.note_first(source, index);
+        let trial = self.occupy(now, site);
+        let service = &self.services.list[task.service];
+        let run_max = match site {
+            Site::Target(_) => service.run_max(),
+            Site::Peer(_) => task.deadline - now,
+        };
+        let expected = service.size.expected(task.declared);
+        let spare_at = self.spare_at(now, &task, source, site);
+        if let Some(at) = spare_at {
+            self.timers.add(at, Timer::Spare(id));
+        }
+        let attempt = Attempt {
+            source,
+            index,
+            service: task.service,
+            site,
+            started: now,
+            expected,
+            declared: task.declared,
+            spare_at,
+            trial,
+        };
+        self.open.insert(id, attempt);
+        let service = self.services.list[task.service].rules.as_ref();
+        actions.push(Action::Start(Start {
+            id,
+            place: site.place(&self.fleet),
+            name: task.name.unwrap_or_else(|| format!("{}.{id}", self.own)),
+            service: service.map(|rules| rules.name.clone()).unwrap_or_default(),
+            payload: task.payload,
+            expected: task.declared,
+            repeatable: task.repeatable,
+            timeout: run_max,
+        }));
+    }
+
+    fn task(&self, source: Source, index: usize) -> Option<Task> {
+        match source {
+            Source::Job(id) => {
+                let flight = self.jobs.get(&id)?;
+                let spec = flight.job.spec();
+                Some(Task {
+                    service: flight.service,
+                    payload: Arc::clone(&spec.tasks[index].payload),
+                    declared: spec.tasks[index].expected,
+                    repeatable: spec.repeatable,
+                    deadline: flight.job.deadline(),
+                    name: None,
+                })
+            }
+            Source::Adopted(adopted) => {
+                let guest = self.guests.get(adopted)?;
+                Some(Task {
+                    service: guest.service,
+                    payload: Arc::clone(&guest.adoption.payload),
+                    declared: guest.adoption.expected,
+                    repeatable: guest.adoption.repeatable,
+                    deadline: guest.deadline,
+                    name: Some(guest.adoption.name.clone()),
+                })
+            }
+        }
+    }
+
+    /// Counts the attempt, and lets a first one earn its share of further ones.
+    fn note_first(&mut self, source: Source, index: usize) {
+        match source {
+            Source::Job(id) => {
+                let Some(flight) = self.jobs.get_mut(&id) else { return };
+                let first = flight.job.tries(index) == 0;
+                flight.job.send(index);
+                if first {
+                    self.counts.first_starts += 1;
+                    self.retries.earn(self.document.limits.retries.share);
+                    let service = &mut self.services.list[flight.service];
+                    let share = service.spare_share();
+                    service.spares.earn(share);
+                } else {
+                    self.counts.further_starts += 1;
+                }
+            }
+            Source::Adopted(adopted) => self.guests.run(adopted),
+        }
+    }
+
+    /// Takes a slot; returns whether it is a trial.
+    fn occupy(&mut self, now: Millis, site: Site) -> bool {
+        match site {
+            Site::Target(number) => {
+                let target = &mut self.fleet.targets[number];
+                target.busy += 1;
+                target.look = false;
+                let trial = target.health.is_ejected();
+                if trial {
+                    target.health.trying(now);
+                    let next = target.health.trial();
+                    self.timers.add(next.unwrap_or(now), Timer::Target(number));
+                    self.counts.trials += 1;
+                }
+                self.fleet.refresh(now, number);
+                trial
+            }
+            Site::Peer(peer) => {
+                if let Some(other) = self.others.get_mut(&peer) {
+                    other.open += 1;
+                }
+                self.counts.over += 1;
+                false
+            }
+        }
+    }
+
+    /// When the attempt will have lasted so long that a copy elsewhere would probably end sooner.
+    fn spare_at(&self, now: Millis, task: &Task, source: Source, site: Site) -> Option<Millis> {
+        let service = &self.services.list[task.service];
+        let Site::Target(number) = site else { return None };
+        let own = matches!(source, Source::Job(_));
+        if !own || !task.repeatable || service.spare_share() <= 0.0 {
+            return None;
+        }
+        let slowness = self.fleet.targets[number].speed.slowness.max(0.0);
+        Some(now + estimate::time(service.size.unlikely(task.declared) + slowness))
+    }
+
+    /// Starts a copy of an attempt that has lasted unusually long, if the budget and the slots allow it.
+    pub(super) fn spare(&mut self, now: Millis, start: StartId, actions: &mut Vec<Action>) {
+        let Some(attempt) = self.open.get(&start) else { return };
+        let Some(id) = attempt.job() else { return };
+        let (index, service, site) = (attempt.index, attempt.service, attempt.site);
+        let Some(flight) = self.jobs.get(&id) else { return };
+        if !flight.job.may_send(index) || flight.job.open(index) > 1 {
+            return;
+        }
+        let pool = self.services.list[service].pool;
+        let target = self.fleet.pools[pool].fastest(&mut self.random);
+        let Some(target) = target.filter(|&target| Site::Target(target) != site) else { return };
+        if self.services.list[service].spares.spend() {
+            self.counts.spare += 1;
+            self.start(now, Source::Job(id), index, Site::Target(target), actions);
+        }
+    }
+
+    /// Queues a task whose pause before another attempt is over.
+    pub(super) fn retry(&mut self, id: job::Id, index: usize) {
+        let Some(flight) = self.jobs.get(&id) else { return };
+        if flight.job.may_send(index) && flight.job.open(index) == 0 {
+            self.requeue(Source::Job(id), index);
+        }
+    }
+}
+
+/// Ends a job that would not end in its time.
+fn give_up(job: &mut Job) {
+    if job.execution() != Execution::NotRun {
+        return job.expire();
+    }
+    let detail = "the queue left too little of the job's time; submit again later under a new key";
+    job.refuse(Failure::new(Reason::Expired, Execution::NotRun, detail));
+}
--- a/src/job/aggregate.rs
+++ b/src/job/aggregate.rs
@@ -29,6 +29,8 @@
     open: u32,
     /// Attempts that are not proved unstarted.
     started: u32,
+    /// All attempts, those proved unstarted among them.
+    tries: u32,
     answer: Option<Answer>,
 }
 
@@ -42,15 +44,18 @@
     deadline: Millis,
     tasks: Vec<Progress>,
     unanswered: usize,
+    /// Open attempts of all tasks.
+    open: u32,
     outcome: Option<Outcome>,
 }
 
 impl Job {
     /// A job none of whose tasks is started, and whose time is up at `deadline`.
     pub fn new(spec: Arc<Spec>, deadline: Millis) -> Self {
-        let idle = Progress { state: State::Pending, open: 0, started: 0, answer: None };
+        let idle = Progress { state: State::Pending, open: 0, started: 0, tries: 0, answer: None };
         let unanswered = spec.tasks.len();
-        Self { tasks: vec![idle; unanswered], spec, deadline, unanswered, outcome: None }
+        let tasks = vec![idle; unanswered];
+        Self { spec, deadline, tasks, unanswered, open: 0, outcome: None }
     }
 
     /// What was asked.
@@ -78,9 +83,19 @@
         self.tasks[index].started
     }
 
+    /// How many attempts of the task at `index` were made in all.
+    pub fn tries(&self, index: usize) -> u32 {
+        self.tasks[index].tries
+    }
+
+    /// How many attempts of the task at `index` have no end yet.
+    pub fn open(&self, index: usize) -> u32 {
+        self.tasks[index].open
+    }
+
     /// Whether an attempt of any task has no end yet.
-    pub fn is_open(&self) -> bool {
-        self.tasks.iter().any(|task| task.open > 0)
+    pub const fn is_open(&self) -> bool {
+        self.open > 0
     }
 
     /// Whether another attempt of the task may be started now.
@@ -106,6 +121,8 @@
         task.state = State::Sent;
         task.open += 1;
         task.started += 1;
+        task.tries += 1;
+        self.open += 1;
         invariant!(
             repeatable || task.started == 1,
             "task {index} is not repeatable and has {} starts",
@@ -119,6 +136,7 @@
         invariant!(task.open > 0 && task.started > 0, "task {index} has no attempt to take back");
         task.open -= 1;
         task.started -= 1;
+        self.open -= 1;
         if task.open == 0 && task.state == State::Sent {
             task.state = State::Pending;
         }
@@ -211,5 +229,6 @@
         let task = &mut self.tasks[index];
         invariant!(task.open > 0, "task {index} has no open attempt");
         task.open -= 1;
+        self.open -= 1;
     }
 }
--- /dev/null
+++ b/tests/dispatch.rs
@@ -0,0 +1,340 @@
+//! The policy under virtual time: counts and ratios that depend on the seed alone.
+
+#[path = "dispatch/model.rs"]
+mod model;
+
+use std::sync::Arc;
+
+use fastrand::Rng;
+use gypsumkeel::clock::Millis;
+use gypsumkeel::config::{Choice, Document, Order, SlotMode, Team};
+use gypsumkeel::dispatch::{Action, Adopted, Adoption, Engine, Event, Report};
+use gypsumkeel::job::{Execution, Failure, Outcome, Reason};
+use model::{Fault, Load, Model, document, drive, spec, vm};
+
+const SECOND: u64 = 1_000_000;
+const SEED: u64 = 7;
+
+fn steady(share: f64, seconds: u64) -> Load {
+    Load { share, seconds, repeatable: false, timeout: 20_000 }
+}
+
+/// A run of one domain with 17 targets.
+fn one_domain(vms: usize, load: Load, change: impl Fn(&mut Document)) -> Model {
+    let mut document = document(&[("a", 17)]);
+    change(&mut document);
+    let mut model = Model::new(&vec!["a"; vms], document, SEED);
+    let all = (0..vms).collect::<Vec<_>>();
+    drive(&mut model, load, &all, &mut Rng::with_seed(SEED));
+    model
+}
+
+fn finish(mut model: Model) -> Model {
+    model.run(300 * SECOND);
+    model.check_names();
+    assert!(model.jobs.values().all(|job| job.ended.is_some()), "a job has no end");
+    assert_eq!(model.total(|counts| counts.open + counts.waiting + counts.jobs), 0);
+    model
+}
+
+fn report(name: &str, model: &Model) {
+    let starts = model.total(|counts| counts.first_starts + counts.further_starts);
+    println!(
+        "| {name} | {:.2} | {:.2} | {:.2} | {}/{} | {starts} | {:.2}% | {} | {} | {} | {:.2} | {:.1} |",
+        model.quantile(0.5),
+        model.quantile(0.99),
+        model.quantile(0.999),
+        model.complete(),
+        model.jobs.len(),
+        model.share(|counts| counts.full) * 100.0,
+        model.total(|counts| counts.refused),
+        model.total(|counts| counts.lost + counts.failed),
+        model.total(|counts| counts.further_starts),
+        model.told as f64 / starts as f64,
+        model.told_bytes as f64 / starts as f64,
+    );
+}
+
+fn simplest(document: &mut Document) {
+    document.limits.slots.mode = SlotMode::Choices;
+    document.limits.queue.choice = Choice::Random;
+    document.limits.queue.order = Order::Arrival;
+}
+
+#[test]
+#[ignore = "prints a table; run by command"]
+fn table_of_slot_modes() {
+    for share in [0.5, 0.7, 0.85] {
+        report(&format!("{share} lone"), &finish(one_domain(1, steady(share, 120), |_| {})));
+        for vms in [2, 3] {
+            let model = finish(one_domain(vms, steady(share, 120), simplest));
+            report(&format!("{share} {vms} simplest"), &model);
+            for mode in [SlotMode::Choices, SlotMode::Split, SlotMode::Grants] {
+                let change = |document: &mut Document| document.limits.slots.mode = mode;
+                let model = finish(one_domain(vms, steady(share, 120), change));
+                report(&format!("{share} {vms} {mode:?}"), &model);
+            }
+        }
+    }
+}
+
+#[test]
+fn grants_come_near_a_lone_process() {
+    // At half load the fastest slots are never all busy for a lone process, which VMs don't match.
+    for (share, most) in [(0.5, 1.25), (0.7, 1.1), (0.85, 1.1)] {
+        let lone = finish(one_domain(1, steady(share, 60), |_| {})).quantile(0.99);
+        let model = finish(one_domain(3, steady(share, 60), |_| {}));
+        let (shared, full) = (model.quantile(0.99), model.share(|counts| counts.full));
+        assert!(shared <= lone * most, "p99 {shared} against {lone} at {share}");
+        assert!(full < 0.001, "{full} refused at {share}");
+    }
+}
+
+#[test]
+fn slot_messages_may_be_lost_late_and_repeated() {
+    let mut model = one_domain(3, steady(0.8, 60), |_| {});
+    model.lossy = 0.2;
+    let model = finish(model);
+    report("lossy", &model);
+    let full = model.share(|counts| counts.full);
+    assert!(full < 0.01, "{full} refused");
+    assert_eq!(model.complete(), model.jobs.len());
+}
+
+#[test]
+fn a_vm_that_dies_and_returns_costs_refusals_only() {
+    let mut model = one_domain(3, steady(0.7, 0), |_| {});
+    drive(&mut model, steady(0.5, 60), &[0, 1], &mut Rng::with_seed(SEED));
+    model.members_at(20 * SECOND, &[true, true, false]);
+    model.members_at(40 * SECOND, &[true, true, true]);
+    let model = finish(model);
+    let full = model.share(|counts| counts.full);
+    assert!(full < 0.01, "{full} refused");
+    assert_eq!(model.complete(), model.jobs.len());
+}
+
+#[test]
+fn slow_targets_get_less() {
+    let mut model = one_domain(2, steady(0.5, 60), |_| {});
+    model.fault(20 * SECOND, "a0", Fault::Slow(10.0));
+    model.run(25 * SECOND);
+    let before = model.servers["a0"].starts;
+    let model = finish(model);
+    let after = model.servers["a0"].starts - before;
+    let all = model.servers.values().map(|server| server.starts).sum::<u64>();
+    assert!(after * 100 < all, "{after} of {all} after it got slow");
+}
+
+#[test]
+fn black_holes_cost_few_tasks() {
+    for holes in [1, 3, 5] {
+        let mut model = one_domain(3, steady(0.7, 60), |_| {});
+        for hole in 0..holes {
+            model.fault(20 * SECOND, &format!("a{hole}"), Fault::BlackHole);
+        }
+        let model = finish(model);
+        let trials = model.total(|counts| counts.trials);
+        let failed = model.total(|counts| counts.failed);
+        println!("holes={holes} failed={failed} trials={trials}");
+        assert!(failed - trials < 10 * 3 * holes, "{failed} failed, {trials} trials");
+    }
+}
+
+#[test]
+fn bad_tasks_eject_no_target() {
+    for poison in [0.3, 1.0] {
+        let mut model = one_domain(2, steady(0.5, 0), |_| {});
+        let mut random = Rng::with_seed(SEED);
+        for number in 0..2_000 {
+            let mut job = spec(&[100; 4], number % 2 == 0, 10_000);
+            if random.f64() < poison {
+                job.tasks[1].payload = "\"bad\"".into();
+            }
+            model.submit(number * 20_000, (number % 2) as usize, job);
+        }
+        let mut most = 0;
+        for step in 1..500 {
+            model.run(step * SECOND / 10);
+            most = most.max(model.total(|counts| counts.ejected));
+        }
+        let model = finish(model);
+        assert_eq!(most, 0, "ejected at {poison}");
+        assert!(model.share(|counts| counts.further_starts) < 0.1);
+    }
+}
+
+#[test]
+fn a_burst_is_refused_early_and_leaves_no_waste() {
+    let burst = |change: &dyn Fn(&mut Document)| {
+        let load = Load { share: 0.6, seconds: 40, repeatable: false, timeout: 6_000 };
+        let mut model = one_domain(3, load, change);
+        model.run(10 * SECOND);
+        let load = Load { share: 6.0, seconds: 2, ..load };
+        drive(&mut model, load, &[0, 1, 2], &mut Rng::with_seed(SEED + 1));
+        finish(model)
+    };
+    let waste = |model: &Model| {
+        let late = model.jobs.values().filter(|job| {
+            matches!(&job.outcome, Some(Outcome::Failed(failure)) if failure.execution != Execution::NotRun)
+        });
+        late.map(|job| job.tasks).sum::<usize>()
+    };
+    let plain = burst(&simplest);
+    let model = burst(&|_| {});
+    report("burst simplest", &plain);
+    report("burst", &model);
+    let (plain, useful) = (waste(&plain), waste(&model));
+    println!("tasks of jobs that were started and not answered: {plain} at first, {useful} now");
+    let starts = model.total(|counts| counts.first_starts) as usize;
+    assert!(useful * 20 < starts && useful * 5 < plain, "{useful} of {starts}");
+    let after = model.jobs.values().filter(|job| job.submitted > 20 * SECOND);
+    let slow = after.filter(|job| !job.is_complete()).count();
+    assert_eq!(slow, 0, "jobs failed long after the burst");
+}
+
+#[test]
+fn what_fits_no_target_is_refused_at_once() {
+    let mut model = one_domain(1, steady(0.5, 0), |document| {
+        document.services[0].targets = vec!["elsewhere".to_owned()];
+    });
+    let id = model.submit(0, 0, spec(&[100], false, 1_000));
+    model.run(10);
+    let Some(Outcome::Failed(failure)) = &model.jobs[&id].outcome else { panic!("not refused") };
+    assert_eq!(failure.execution, Execution::NotRun);
+    assert_eq!(failure.reason, Reason::Unavailable);
+}
+
+#[test]
+fn half_of_all_jobs_cancelled_at_once() {
+    let mut model = one_domain(2, steady(1.5, 10), |_| {});
+    let open = (1..=model.jobs.len() as u64).step_by(2).collect::<Vec<_>>();
+    for (at, id) in open.into_iter().flat_map(|id| [(5 * SECOND, id)]) {
+        for vm in 0..2 {
+            model.cancel(at, vm, id);
+        }
+    }
+    let model = finish(model);
+    let cancelled = |failure: &Failure| failure.reason == Reason::Cancelled;
+    let hit = model
+        .jobs
+        .values()
+        .filter(|job| matches!(&job.outcome, Some(Outcome::Failed(failure)) if cancelled(failure)));
+    assert!(hit.count() > 10);
+}
+
+#[test]
+fn one_large_job_does_not_hold_up_a_small_one() {
+    let response = |change: fn(&mut Document)| {
+        let mut model = one_domain(1, steady(0.5, 0), change);
+        model.submit(0, 0, spec(&[200; 450], false, 60_000));
+        let small = model.submit(SECOND / 10, 0, spec(&[200], false, 60_000));
+        finish(model).jobs[&small].ratio()
+    };
+    let (fair, arrival) = (response(|_| {}), response(simplest));
+    println!("one task behind 450: fair {fair:.2}, in order of arrival {arrival:.2}");
+    assert!(fair < 6.0 && fair < arrival, "{fair} against {arrival}");
+}
+
+#[test]
+fn teams_get_their_shares() {
+    let mut model = one_domain(1, steady(0.5, 0), |document| {
+        for (name, share) in [("desk", 3), ("drivers", 1)] {
+            document.teams.push(Team { name: name.to_owned(), share });
+        }
+    });
+    let mut ids = Vec::new();
+    for team in ["desk", "drivers"] {
+        for _ in 0..400 {
+            let mut job = spec(&[200; 5], false, 60_000);
+            team.clone_into(&mut job.team);
+            ids.push((team, model.submit(0, 0, job)));
+        }
+    }
+    model.run(8 * SECOND);
+    let done = |team| {
+        let own = ids.iter().filter(|(name, _)| *name == team);
+        own.filter(|(_, id)| model.jobs[id].ended.is_some()).count() as f64
+    };
+    let ratio = done("desk") / done("drivers");
+    assert!((2.4..3.6).contains(&ratio), "{ratio}");
+}
+
+#[test]
+fn spare_copies_only_within_their_budget() {
+    for (share, repeatable) in [(0.0, true), (0.05, true), (0.05, false)] {
+        let load = Load { share: 0.5, seconds: 60, repeatable, timeout: 20_000 };
+        let mut model = one_domain(2, load, |document| document.services[0].spare_share = share);
+        model.fault(20 * SECOND, "a0", Fault::Slow(10.0));
+        model.fault(20 * SECOND, "a1", Fault::Slow(10.0));
+        let model = finish(model);
+        report(&format!("stragglers, spare share {share}, repeatable {repeatable}"), &model);
+        let spare = model.share(|counts| counts.spare);
+        assert!(spare <= share && (spare > 0.0) == (share > 0.0 && repeatable), "{spare}");
+    }
+}
+
+#[test]
+fn tasks_go_over_to_other_domains_and_come_back() {
+    let mut model = Model::new(&["a", "a", "b", "c"], document(&[("a", 5), ("b", 5), ("c", 5)]), 3);
+    let load = Load { share: 0.2, seconds: 60, repeatable: false, timeout: 10_000 };
+    drive(&mut model, load, &[0, 1], &mut Rng::with_seed(SEED));
+    for number in 0..5 {
+        model.fault(20 * SECOND, &format!("a{number}"), Fault::Gone);
+        model.fault(40 * SECOND, &format!("a{number}"), Fault::None);
+    }
+    model.run(50 * SECOND);
+    let over = model.total(|counts| counts.over);
+    let model = finish(model);
+    assert!(over > 100, "{over} over");
+    assert_eq!(model.total(|counts| counts.over), over, "still over after the return");
+    assert_eq!(model.complete(), model.jobs.len());
+    report("own targets gone for 20 s of 60", &model);
+}
+
+#[test]
+fn an_adopted_task_starts_once_and_can_be_fenced() {
+    let mut document = document(&[("a", 1)]);
+    document.targets[0].slots = 1;
+    let mut engine = Engine::new(vm(0), "a", SEED);
+    let mut handle = |now, event| {
+        let mut actions = Vec::new();
+        engine.handle(Millis(now), event, &mut actions);
+        actions
+    };
+    handle(0, Event::Configure(Arc::new(document)));
+    handle(0, Event::Members(Arc::from([])));
+    let adopted = |start| Adopted { coordinator: vm(9), start };
+    let adopt = |start| Event::Adopt {
+        adopted: adopted(start),
+        adoption: Adoption {
+            name: format!("task-{start}"),
+            service: "holds".to_owned(),
+            payload: "1".into(),
+            expected: None,
+            repeatable: false,
+            remaining: Millis(10_000),
+        },
+    };
+    let returned = |actions: Vec<Action>, start| match &actions[..] {
+        [Action::Return { adopted: which, report }] => {
+            assert_eq!(*which, adopted(start));
+            report.clone()
+        }
+        other => panic!("{other:?}"),
+    };
+    let Action::Start(start) = handle(1, adopt(1)).remove(0) else { panic!("not started") };
+    assert_eq!(start.name, "task-1");
+    assert!(handle(2, adopt(1)).is_empty(), "started again");
+    assert!(handle(3, adopt(2)).is_empty(), "no slot is free");
+    let fence = Event::Fate { adopted: adopted(2) };
+    assert!(matches!(returned(handle(4, fence), 2), Report::Unsent(_)));
+    let unknown = Event::Fate { adopted: adopted(3) };
+    assert!(matches!(returned(handle(5, unknown), 3), Report::Unsent(_)));
+    assert!(matches!(returned(handle(6, adopt(3)), 3), Report::Unsent(_)), "it was fenced");
+    assert!(handle(7, Event::Fate { adopted: adopted(1) }).is_empty(), "it still runs");
+    let end = Event::Report { start: start.id, report: Report::Done("2".into()) };
+    assert_eq!(returned(handle(8, end), 1), Report::Done("2".into()));
+    assert_eq!(returned(handle(9, adopt(1)), 1), Report::Done("2".into()));
+    handle(200_000, Event::Tick);
+    assert!(matches!(returned(handle(200_001, adopt(1)), 1), Report::Lost(_)), "long forgotten");
+}
