--- a/src/target/attempt.rs
+++ b/src/target/attempt.rs
@@ -11,6 +11,9 @@
 
 use super::pool::{Lease, Pool};
 
+/// What a caller can do about a lost outcome.
+const ASK: &str = "; ask the service itself whether the task ran";
+
 /// Times that hold for the connections to targets.
 #[derive(Clone, Copy, Debug)]
 pub struct Rules {
@@ -42,7 +45,9 @@
         match lease.connection_mut().ask(&question).await {
             Ok(answer) => finish(lease, start, &answer),
             Err(Error::Unsent(why)) => Report::Unsent(why),
-            Err(Error::Lost(why)) => Report::Lost(format!("the target's answer was lost: {why}")),
+            Err(Error::Lost(why)) => {
+                Report::Lost(format!("the target's answer was lost: {why}{ASK}"))
+            }
         }
     }
 
@@ -67,10 +72,10 @@
 fn finish(lease: Lease, start: &Start, answer: &Answer) -> Report {
     let named = answer.header("Task-Id");
     if named.is_some_and(|named| named != start.name) {
-        return Report::Lost("the target answered with another task's id".to_owned());
+        return Report::Lost(format!("the target answered with another task's id{ASK}"));
     }
     match answer.status {
-        200 if named.is_none() => Report::Lost("the target's answer names no task".to_owned()),
+        200 if named.is_none() => Report::Lost(format!("the target's answer names no task{ASK}")),
         200 => {
             let report = accept(&answer.body);
             lease.put_back();
@@ -82,7 +87,10 @@
         }
         status => {
             lease.put_back();
-            Report::Failed(format!("the target answered {status}"))
+            Report::Failed(format!(
+                "the target answered {status}; see its log for the task {}",
+                start.name
+            ))
         }
     }
 }
@@ -91,6 +99,8 @@
 fn accept(body: &[u8]) -> Report {
     match serde_json::from_slice::<&RawValue>(body) {
         Ok(value) => Report::Done(Arc::from(value.get())),
-        Err(error) => Report::Failed(format!("the target's answer is no JSON: {error}")),
+        Err(error) => {
+            Report::Failed(format!("the target's answer is no JSON: {error}; mend the target"))
+        }
     }
 }
--- /dev/null
+++ b/tests/testenv/env.rs
@@ -0,0 +1,246 @@
+//! An environment: real VMs in failure domains, the store, targets, and proxies between them all.
+
+use std::collections::BTreeMap;
+use std::fs;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use gypsumkeel::clock::Millis;
+use gypsumkeel::config::Name;
+use gypsumkeel::config::operator::{self, Edit};
+use serde_json::{Value, json};
+
+use super::store::Store;
+use super::{Caller, Ledger, Place, Proxy, Shut, Target, Vm, until, wait_until};
+
+/// How long an environment may take until all its VMs serve.
+const READY_LIMIT: Duration = Duration::from_secs(20);
+
+/// What all keys in the store start with.
+const PREFIX: &str = "gypsumkeel";
+
+/// What an environment is made of.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    pub domains: &'static [&'static str],
+    /// VMs in each domain.
+    pub vms: usize,
+    /// Targets in each domain.
+    pub targets: usize,
+    /// Slots of each target.
+    pub slots: usize,
+    /// The sections `limits` and `services`.
+    pub limits: Value,
+    pub services: Value,
+    /// Further settings of every VM, over the usual ones.
+    pub settings: Value,
+}
+
+impl Default for Setup {
+    fn default() -> Self {
+        Self {
+            domains: &["a", "b"],
+            vms: 1,
+            targets: 2,
+            slots: 8,
+            limits: json!({}),
+            services: json!([{ "name": "holds", "timeout": "10s", "run_max": "5s" }]),
+            settings: json!({}),
+        }
+    }
+}
+
+/// A running environment.
+pub struct Env {
+    pub store: Store,
+    pub targets: Vec<Target>,
+    pub ledger: Arc<Ledger>,
+    /// In front of each target, in the order of the targets.
+    pub target_proxies: Vec<Proxy>,
+    /// In front of each VM's port for peers, in the order of the VMs.
+    pub peer_proxies: Vec<Proxy>,
+    store_proxies: BTreeMap<&'static str, Proxy>,
+    places: Vec<Place>,
+    vms: Mutex<Vec<Arc<Vm>>>,
+    directory: PathBuf,
+}
+
+impl Env {
+    /// Starts everything and waits until every VM takes jobs.
+    pub fn start(setup: &Setup) -> Self {
+        let ledger = Arc::<Ledger>::default();
+        let store = Store::start();
+        let mut env = Self {
+            targets: Vec::new(),
+            target_proxies: Vec::new(),
+            peer_proxies: Vec::new(),
+            store_proxies: BTreeMap::new(),
+            places: Vec::new(),
+            vms: Mutex::default(),
+            directory: new_directory(),
+            ledger,
+            store,
+        };
+        let mut sections = Vec::new();
+        for &domain in setup.domains {
+            env.store_proxies.insert(domain, Proxy::start(Some(env.store.address())));
+            for number in 1..=setup.targets {
+                sections.push(env.add_target(&format!("t-{domain}-{number}"), domain, setup.slots));
+            }
+            for number in 1..=setup.vms {
+                env.add_place(&format!("lantern-{domain}-{number}"), domain, &setup.settings);
+            }
+        }
+        let names = env.targets.iter().map(|target| target.name.as_str()).collect::<Vec<_>>();
+        env.store.set_targets(names);
+        env.configure("targets", &Value::Array(sections));
+        env.configure("services", &setup.services);
+        env.configure("limits", &setup.limits);
+        let peers = env.peer_proxies.iter().map(|proxy| proxy.address).collect::<Vec<_>>();
+        for index in 0..env.places.len() {
+            env.places[index].settings["peers"] = json!(peers);
+            env.launch(index);
+        }
+        wait_until("every VM takes jobs", READY_LIMIT, || {
+            (0..env.places.len()).all(|index| smol::block_on(env.caller(index).is_ready()))
+        });
+        env
+    }
+
+    /// How many VMs there are.
+    pub fn len(&self) -> usize {
+        self.places.len()
+    }
+
+    /// The VM at `index`; VMs of one domain are next to each other.
+    pub fn vm(&self, index: usize) -> Arc<Vm> {
+        Arc::clone(&self.vms.lock().unwrap()[index])
+    }
+
+    /// A caller of the VM at `index`.
+    pub fn caller(&self, index: usize) -> Caller {
+        self.vm(index).caller()
+    }
+
+    /// The proxy between a domain's VMs and the store.
+    pub fn store_proxy(&self, domain: &str) -> &Proxy {
+        &self.store_proxies[domain]
+    }
+
+    /// Cuts one domain off from the others and from the store.
+    pub fn cut_off(&self, domain: &str, shut: Shut) {
+        let inside = format!("lantern-{domain}-");
+        for (index, proxy) in self.peer_proxies.iter().enumerate() {
+            let inside = inside.clone();
+            let to_inside = self.places[index].domain == domain;
+            proxy.shut_out(shut, move |first| {
+                first.contains("lantern-") && first.contains(&inside) != to_inside
+            });
+        }
+        self.store_proxies[domain].shut_out(shut, |_| true);
+    }
+
+    /// Ends the faults of every proxy.
+    pub fn heal(&self) {
+        self.peer_proxies.iter().chain(&self.target_proxies).for_each(Proxy::heal);
+        self.store_proxies.values().for_each(Proxy::heal);
+    }
+
+    /// Puts a new process in the place of the VM at `index`, whose process has ended.
+    pub fn replace(&self, index: usize) {
+        self.vm(index).kill();
+        self.launch(index);
+    }
+
+    /// Takes a prefix from the VM at `index`, and waits until every VM knows that VM.
+    pub async fn keys(&self, index: usize) -> String {
+        let prefix = self.caller(index).keys().await.unwrap();
+        for other in 0..self.len() {
+            let caller = self.caller(other);
+            let probe = format!("{prefix}.unused-{index}-{other}");
+            until("every VM reaches the coordinator", READY_LIMIT, || async {
+                caller.look(&probe).await.is_ok_and(|reply| reply.status == 404)
+            })
+            .await;
+        }
+        prefix
+    }
+
+    /// Replaces one section of the configuration, as an operator would.
+    pub fn configure(&self, section: &str, value: &Value) {
+        let place = operator::Place { store: &**self.store.memory(), prefix: PREFIX };
+        let (name, text) = (section.parse::<Name>().unwrap(), value.to_string());
+        smol::block_on(async {
+            let before = operator::get(place, Some(&name)).await.map(|(_, sections)| sections);
+            let base = before.unwrap().first().map_or(0, |section| section.reference.version);
+            let text = Some(text.as_str());
+            let edit = Edit { section: &name, base, text, who: "tests", why: "set up" };
+            operator::apply(place, edit, Millis::from_secs(10)).await.unwrap();
+        });
+    }
+
+    fn add_target(&mut self, name: &str, domain: &str, slots: usize) -> Value {
+        let target = Target::start(name, slots, Arc::clone(&self.ledger));
+        let proxy = Proxy::start(Some(target.address));
+        let section =
+            json!({ "id": name, "domain": domain, "address": proxy.address, "slots": slots });
+        self.targets.push(target);
+        self.target_proxies.push(proxy);
+        section
+    }
+
+    fn add_place(&mut self, name: &str, domain: &'static str, further: &Value) {
+        let proxy = Proxy::start(None);
+        let mut settings = json!({
+            "vm": name,
+            "domain": domain,
+            "region": "south",
+            "listen": { "callers": "127.0.0.1:0", "peers": "127.0.0.1:0" },
+            "advertise": { "peers": proxy.address },
+            "store": {
+                "url": format!("http://{}", self.store_proxies[domain].address),
+                "timeout": "1s",
+            },
+            "peers": [],
+            "threads": 2,
+            "drain": "10s",
+            "heartbeat": { "every": "100ms", "patience": "600ms" },
+            "targets": { "prove_after": "200ms" },
+            "log": { "level": "debug" },
+        });
+        for (name, value) in further.as_object().into_iter().flatten() {
+            settings[name] = value.clone();
+        }
+        self.peer_proxies.push(proxy);
+        self.places.push(Place { name: name.into(), domain: domain.into(), settings });
+    }
+
+    fn launch(&self, index: usize) {
+        let vm = Arc::new(Vm::start(&self.directory, &self.places[index]));
+        self.peer_proxies[index].set_upstream(vm.peers);
+        let mut vms = self.vms.lock().unwrap();
+        if index < vms.len() {
+            vms[index] = vm;
+        } else {
+            vms.push(vm);
+        }
+    }
+}
+
+impl Drop for Env {
+    fn drop(&mut self) {
+        self.vms.lock().unwrap().clear();
+        drop(fs::remove_dir_all(&self.directory));
+    }
+}
+
+fn new_directory() -> PathBuf {
+    static NUMBER: AtomicUsize = AtomicUsize::new(0);
+    let number = NUMBER.fetch_add(1, Ordering::Relaxed);
+    let name = format!("env-{}-{number}", std::process::id());
+    let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    fs::create_dir_all(&directory).unwrap();
+    directory
+}
--- a/tests/testenv/mod.rs
+++ b/tests/testenv/mod.rs
@@ -4,6 +4,7 @@
 #![allow(unused_imports, reason = "each test file uses a part of it")]
 
 mod caller;
+mod env;
 mod process;
 mod proxy;
 pub mod store;
@@ -16,6 +17,7 @@
 use smol::{Executor, Task, Timer, future};
 
 pub use caller::{Caller, Job, Reply};
+pub use env::{Env, Setup};
 pub use process::{Place, Vm};
 pub use proxy::{Proxy, Shut, Way};
 pub use target::{Counts, Fault, Ledger, Mode, Target};
