Take the signals to stop before telling that the VM listens

A SIGTERM right after the line event=listening killed the VM: the handlers were set up after the start. Now they are there before the first socket listens, and the VM goes by its configuration, if it has one, before it tells so.

--- a/src/serve/start.rs
+++ b/src/serve/start.rs
@@ -73,9 +73,10 @@
     runtime::start(settings.threads)?;
     smol::block_on(async {
         let store = Arc::new(Consul::new(settings.store.address, settings.store.timeout));
+        let signals = signals()?;
         let node = start(settings, store, Holder::default()).await?;
         let reporter = meter::start(&node)?;
-        stop(&node).await?;
+        stop(&node, signals).await;
         if let Some(reporter) = reporter {
             reporter.close();
         }
@@ -92,12 +93,18 @@
         let document = dev_document(&settings.domain, targets).await?;
         let store = Arc::new(Memory::new(Clock::start()));
         let holder = Holder::new(Snapshot::of_document(document));
+        let signals = signals()?;
         let node = start(settings, store, holder).await?;
-        node.configure(&node.document());
-        stop(&node).await
+        stop(&node, signals).await;
+        Ok(())
     })
 }
 
+/// Takes the signals to stop. From here on they end nothing by themselves.
+fn signals() -> io::Result<Signals> {
+    Signals::new([Signal::Term, Signal::Int])
+}
+
 async fn start(
     settings: Settings,
     store: Arc<dyn Store>,
@@ -128,6 +135,7 @@
     let links = Arc::new(Links::new(hello, rules));
     let node =
         Arc::new(Node::new(settings, incarnation, links, store, Arc::new(holder), membership));
+    node.configure(&node.document());
     announce(&callers, &peers)?;
     runtime::spawn(Arc::clone(&node).tick()).detach();
     runtime::spawn(Arc::clone(&node).follow_config()).detach();
@@ -198,7 +206,7 @@
         runtime::spawn(async move {
             let handler = Arc::clone(&node) as Arc<dyn Handler>;
             if let Err(why) = node.links.serve(stream, &handler).await {
-                log::debug!("event=link-closed reason={:?}", why.to_string());
+                event!(debug, "link-closed", reason = why);
             }
         })
         .detach();
@@ -206,8 +214,7 @@
 }
 
 /// Waits for the signal to stop, then for all that is in flight, and leaves a closing record.
-async fn stop(node: &Node) -> Result<(), Error> {
-    let mut signals = Signals::new([Signal::Term, Signal::Int])?;
+async fn stop(node: &Node, mut signals: Signals) {
     signals.next().await;
     let begun = node.now();
     event!(info, "drain-begin", unfinished = node.unfinished());
@@ -216,7 +223,6 @@
     within(left(), finish(node)).await;
     event!(info, "drain-end", unfinished = node.unfinished());
     within(left(), close(node)).await;
-    Ok(())
 }
 
 async fn finish(node: &Node) {
@@ -286,7 +292,7 @@
             if let Some(id) = request.header("Task-Id") {
                 response.insert_header("Task-Id", id.last().as_str());
             }
-            log::trace!("event=echo at={}", self.clock.now());
+            event!(trace, "echo", at = self.clock.now());
             response.set_body(body);
             response
         })
