--- a/src/audit.rs
+++ b/src/audit.rs
@@ -4,6 +4,7 @@
 
 use crate::clock::Millis;
 use crate::config::Snapshot;
+use crate::event;
 
 /// Logs every change between two versions. Those too long ago to be told apart share one line.
 pub fn applied(from: &Snapshot, to: &Snapshot) {
@@ -11,22 +12,21 @@
     let first = news.clone().next().map_or(to.version + 1, |change| change.version);
     if first > from.version + 1 {
         let last = first - 1;
-        log::info!(
-            "event=config-applied version={last} from={} reason=\"caught up\"",
-            from.version
-        );
+        event!(info, "config-applied", version = last, from = from.version, reason = "caught up");
     }
     for change in news {
         let hash = change.hash.map_or_else(|| "removed".to_owned(), |hash| hash.to_string());
-        log::info!(
-            "event=config-applied version={} section={} section_version={} hash={hash} who={:?} at={} change={} why={:?}",
-            change.version,
-            change.section,
-            change.section_version,
-            change.who,
-            date(change.at),
-            change.id,
-            change.why,
+        event!(
+            info,
+            "config-applied",
+            version = change.version,
+            section = change.section,
+            section_version = change.section_version,
+            hash = hash,
+            who = change.who,
+            at = date(change.at),
+            change = change.id,
+            why = change.why,
         );
     }
 }
--- a/src/config/holder.rs
+++ b/src/config/holder.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::audit;
+use crate::event;
 
 use super::snapshot::{Refusal, Snapshot, Update};
 
@@ -107,7 +108,6 @@
             return;
         }
         self.refused.fetch_add(1, Ordering::Relaxed);
-        let reason = refusal.to_string();
-        log::error!("event=config-refused version={} reason={reason:?}", self.version());
+        event!(error, "config-refused", version = self.version(), reason = refusal);
     }
 }
--- a/src/config/watcher.rs
+++ b/src/config/watcher.rs
@@ -1,6 +1,7 @@
 //! Keeps a VM's configuration up with the store by one waiting call.
 
 use crate::clock::Millis;
+use crate::event;
 use crate::platform::{Index, Pace, Store};
 
 use super::fetch;
@@ -33,8 +34,7 @@
     let known = holder.snapshot();
     if head.version < known.version {
         holder.count_stale();
-        let (answered, version) = (head.version, known.version);
-        log::warn!("event=config-stale answered={answered} in_force={version}");
+        event!(warn, "config-stale", answered = head.version, in_force = known.version);
     }
     if head.version > known.version {
         let update = fetch::update(store, prefix, &head, &known).await?;
--- a/src/membership/closed.rs
+++ b/src/membership/closed.rs
@@ -8,6 +8,7 @@
 use smol::Timer;
 
 use crate::clock::Millis;
+use crate::event;
 use crate::job::{Closing, Incarnation, Key, Mark};
 use crate::platform::{Condition, Error, Store};
 
@@ -71,12 +72,12 @@
     let head = Head { oldest: closing.oldest, chunks };
     let head = serde_json::to_vec(&head).expect("a closing record has string keys only");
     write_one(store, &base, head).await;
-    log::info!("event=closing-record-written keys={}", closing.keys.len());
+    event!(info, "closing-record-written", keys = closing.keys.len());
 }
 
 async fn write_one(store: &dyn Store, key: &str, value: Vec<u8>) {
     while let Err(error) = store.put(key, value.clone(), Condition::Always).await {
-        log::warn!("event=closing-record-failed key={key} reason={:?}", error.to_string());
+        event!(warn, "closing-record-failed", key = key, reason = error);
         let jitter = Millis(fastrand::u64(0..=PAUSE.0));
         Timer::after((PAUSE + jitter).duration()).await;
     }
--- a/src/membership/follow.rs
+++ b/src/membership/follow.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::clock::{Clock, Millis};
+use crate::event;
 use crate::platform::{Entry, Error, Index, Pace, Read, Store, Vm};
 
 use super::view::{Listed, Registration, Version, View};
@@ -71,11 +72,7 @@
 fn registration(entry: &Entry) -> Option<Registration> {
     let registration = serde_json::from_slice(&entry.value);
     if let Err(error) = &registration {
-        log::warn!(
-            "event=registration-unreadable key={} reason={:?}",
-            entry.key,
-            error.to_string()
-        );
+        event!(warn, "registration-unreadable", key = entry.key, reason = error);
     }
     registration.ok()
 }
@@ -98,7 +95,7 @@
             return None;
         }
         self.lower_since = None;
-        log::warn!("event=store-epoch index={index} known={}", known.index);
+        event!(warn, "store-epoch", index = index, known = known.index);
         Some(Version { epoch: known.epoch + 1, index })
     }
 }
--- a/src/membership/lease.rs
+++ b/src/membership/lease.rs
@@ -4,6 +4,7 @@
 use smol::future::FutureExt as _;
 
 use crate::clock::Millis;
+use crate::event;
 use crate::platform::{Error, Store};
 use crate::settings::Lease;
 
@@ -27,7 +28,7 @@
     let mut session = None;
     loop {
         if let Err(error) = step(membership, store, &key, lease.ttl, &mut session).await {
-            log::warn!("event=lease-not-renewed reason={:?}", error.to_string());
+            event!(warn, "lease-not-renewed", reason = error);
         }
         let own_changed = membership.own_changed.listen();
         let jitter = Millis(fastrand::u64(0..=lease.renew.0 / 10));
@@ -49,7 +50,7 @@
     if let Some(id) = session
         && !store.renew_session(id).await?
     {
-        log::warn!("event=lease-lapsed");
+        event!(warn, "lease-lapsed");
         *session = None;
     }
     let is_new = session.is_none();
--- a/src/peer/links.rs
+++ b/src/peer/links.rs
@@ -15,6 +15,7 @@
 use smol::net::TcpStream;
 
 use crate::clock::Millis;
+use crate::event;
 use crate::job::Incarnation;
 use crate::runtime;
 use crate::wire::{Call, Frame, Hello, Note, Reply, VERSION};
@@ -170,12 +171,12 @@
             match self.dial(address, handler).await {
                 Ok(Ended::Own) => return,
                 Ok(Ended::Cut(why)) => {
-                    log::info!("event=link-down peer={address} reason={why:?}");
+                    event!(info, "link-down", peer = address, reason = why);
                     pause = REDIAL_MIN;
                     failures = 0;
                 }
                 Err(why) => {
-                    log::debug!("event=dial-failed peer={address} reason={why:?}");
+                    event!(debug, "dial-failed", peer = address, reason = why);
                     failures += 1;
                 }
             }
@@ -203,7 +204,7 @@
         }
         let (link, frames) = Link::new(hello);
         let link = Arc::new(link);
-        log::info!("event=link-up peer={address} vm={}", link.hello.vm);
+        event!(info, "link-up", peer = address, vm = link.hello.vm);
         self.change(handler, |up| {
             up.insert(link.hello.incarnation, Arc::clone(&link));
         });
--- a/src/platform/pace.rs
+++ b/src/platform/pace.rs
@@ -5,6 +5,7 @@
 use smol::Timer;
 
 use crate::clock::Millis;
+use crate::event;
 
 use super::Index;
 
@@ -39,7 +40,7 @@
         match given {
             Ok(index) => {
                 if self.failing {
-                    log::info!("event=store-back watch={}", self.what);
+                    event!(info, "store-back", watch = self.what);
                 }
                 self.failing = false;
                 let older = index < self.index;
@@ -50,11 +51,7 @@
             }
             Err(error) => {
                 if !self.failing {
-                    log::warn!(
-                        "event=store-out watch={} reason={:?}",
-                        self.what,
-                        error.to_string()
-                    );
+                    event!(warn, "store-out", watch = self.what, reason = error);
                 }
                 self.failing = true;
                 self.index = 0;
