Let submit take the word of the process in charge on a key in doubt

Refusals that are made before a key is passed on now say what is known of the key, and all others come from the process that the key names or from its closing record, which refuses every later copy too. So submit keeps a key in doubt only after 400, 404, 405, 408 and 413, and takes a new one after the others; before, a VM that stopped cost its callers the whole timeout and an outcome called unknown. A key of the user's is given up at its first final refusal.

--- a/src/client/submit.rs
+++ b/src/client/submit.rs
@@ -1,8 +1,9 @@
 //! `gypsumkeel submit`: one job to the end, or to a truthful word on what is not known.
 //!
 //! A lost or unknown outcome is asked for again with the same key, since only that can't start a task
-//! twice. A refusal that nothing was executed is final for its key, so another try takes a new one. Once
-//! an attempt is in doubt the key is kept, whatever a later entry VM says of its own attempt.
+//! twice. A refusal by the process in charge that nothing was executed is final for its key, so another
+//! try takes a new one. A request that got no further than its entry VM is refused with what is known so
+//! far: an earlier copy may still be on its way, so then a key in doubt is kept.
 
 use std::collections::BTreeMap;
 use std::fmt;
@@ -79,6 +80,12 @@
     }
 }
 
+/// Whether a refusal with this status comes from the process that the key names, which will refuse every
+/// other copy too. The others are told before the key is passed on.
+const fn is_final(status: u16) -> bool {
+    !matches!(status, 400 | 404 | 405 | 408 | 413)
+}
+
 /// How a submission ended.
 enum End {
     Complete(String),
@@ -90,7 +97,7 @@
     End(End),
     /// Try again with the same key.
     Same(Option<Millis>),
-    /// Try again with a new key, if the key is not the user's.
+    /// Try again with a new key, or with the user's if nothing was sent under it.
     Fresh(Option<Millis>),
 }
 
@@ -175,21 +182,29 @@
     /// Decides on a refusal or failure.
     fn weigh(&mut self, problem: &Problem) -> Next {
         let wait = problem.retry_after_ms;
-        let may_pass = problem.status == 503 || wait.is_some();
         self.last = problem.to_string();
         match problem.execution {
-            Execution::NotRun if self.in_doubt => Next::Same(wait),
-            Execution::NotRun if may_pass => Next::Fresh(wait),
+            Execution::NotRun if self.in_doubt && !is_final(problem.status) => Next::Same(wait),
+            Execution::NotRun => self.refused(problem.status == 503, wait),
             Execution::Unknown if problem.status == 503 => {
                 self.in_doubt = true;
                 Next::Same(wait)
             }
-            Execution::NotRun => self.stop(Exit::Refused),
             Execution::Ran => self.stop(Exit::Failed),
             Execution::Unknown => self.stop(Exit::Unknown),
         }
     }
 
+    /// Decides after a refusal that is final for the key.
+    fn refused(&mut self, may_pass: bool, wait: Option<Millis>) -> Next {
+        self.in_doubt = false;
+        if self.words.key.is_none() && (may_pass || wait.is_some()) {
+            Next::Fresh(wait)
+        } else {
+            self.stop(Exit::Refused)
+        }
+    }
+
     async fn take_key(&self, entry: SocketAddr) -> Result<String, String> {
         #[derive(Deserialize)]
         struct Keys {
