--- a/src/metrics/names.rs
+++ b/src/metrics/names.rs
@@ -38,6 +38,12 @@
         TasksStarted = "tasks.started",
         /// Further attempts at tasks, spare copies among them.
         TasksAgain = "tasks.again",
+        /// Spare copies, which are among the further attempts.
+        TasksSpare = "tasks.spare",
+        /// Tasks handed to VMs of other domains.
+        TasksOver = "tasks.over",
+        /// Tasks taken from VMs of other domains.
+        TasksAdopted = "tasks.adopted",
         /// Attempts that a full target refused unstarted.
         TasksFull = "tasks.full",
         /// Attempts that never reached a target.
@@ -46,6 +52,18 @@
         TasksFailed = "tasks.failed",
         /// Attempts whose outcome was lost.
         TasksLost = "tasks.lost",
+        /// Trial starts on ejected targets.
+        TargetsTried = "targets.tried",
+        /// Messages about slots to other VMs.
+        SlotMessages = "slots.messages",
+        /// Frames to other VMs that are heartbeats or news.
+        PeerControlFrames = "peers.control_frames",
+        /// Their bytes.
+        PeerControlBytes = "peers.control_bytes",
+        /// Frames to other VMs that pass on jobs, tasks and answers.
+        PeerJobFrames = "peers.job_frames",
+        /// Their bytes.
+        PeerJobBytes = "peers.job_bytes",
         /// Reads of the store that did not wait.
         StoreReads = "store.reads",
         /// Writes to the store.
@@ -70,6 +88,8 @@
         TasksWaiting = "tasks.waiting",
         /// Attempts without an end.
         TasksOpen = "tasks.open",
+        /// Targets that are ejected.
+        TargetsEjected = "targets.ejected",
         /// Keys in the table.
         KeysHeld = "keys.held",
         /// Open connections of callers.
--- a/src/serve/meter.rs
+++ b/src/serve/meter.rs
@@ -33,15 +33,24 @@
         let core = node.lock();
         (core.engine().counts(), core.table().len())
     };
-    let (store, config) = (node.store.calls(), node.holder.counts());
+    let (store, config, volume) = (node.store.calls(), node.holder.counts(), node.links.volume());
     for (counter, total) in [
         (Counter::QueueRefused, tasks.refused),
         (Counter::TasksStarted, tasks.first_starts),
         (Counter::TasksAgain, tasks.further_starts),
+        (Counter::TasksSpare, tasks.spare),
+        (Counter::TasksOver, tasks.over),
+        (Counter::TasksAdopted, tasks.adopted),
         (Counter::TasksFull, tasks.full),
         (Counter::TasksUnsent, tasks.unsent),
         (Counter::TasksFailed, tasks.failed),
         (Counter::TasksLost, tasks.lost),
+        (Counter::TargetsTried, tasks.trials),
+        (Counter::SlotMessages, tasks.told),
+        (Counter::PeerControlFrames, volume.control_frames),
+        (Counter::PeerControlBytes, volume.control_bytes),
+        (Counter::PeerJobFrames, volume.job_frames),
+        (Counter::PeerJobBytes, volume.job_bytes),
         (Counter::StoreReads, store.reads),
         (Counter::StoreWrites, store.writes),
         (Counter::StoreWatches, store.watches),
@@ -55,6 +64,7 @@
         (Gauge::JobsRunning, tasks.jobs),
         (Gauge::TasksWaiting, tasks.waiting),
         (Gauge::TasksOpen, tasks.open),
+        (Gauge::TargetsEjected, tasks.ejected),
         (Gauge::KeysHeld, keys as u64),
         (Gauge::ConnectionsOpen, node.traffic.open() as u64),
         (Gauge::RequestsBusy, node.traffic.busy() as u64),
