--- a/benches/cost.rs
+++ b/benches/cost.rs
@@ -39,9 +39,6 @@
 /// How long one answer may take.
 const PATIENCE: Millis = Millis(10_000);
 
-/// Kernel clock ticks a second, in which processor time is told.
-const TICKS_PER_SECOND: f64 = 100.0;
-
 /// What one run gave.
 struct Outcome {
     latency: Histogram<u64>,
@@ -76,9 +73,9 @@
         configure(&store, &targets);
         let vm = start_vm(&store, threads);
         for (callers, tasks) in [(1, 1), (8, 1), (64, 1), (64, 20)] {
-            let before = processor_seconds(vm.pid());
+            let before = vm.processor_seconds();
             let outcome = through(&vm, callers, tasks);
-            let cores = (processor_seconds(vm.pid()) - before) / outcome.seconds;
+            let cores = (vm.processor_seconds() - before) / outcome.seconds;
             let name = format!("through threads={threads} callers={callers} tasks={tasks}");
             println!("{}", outcome.line(&name, Some(cores)));
         }
@@ -202,11 +199,3 @@
     let answer = connection.ask(&question).await.unwrap();
     assert_eq!(answer.status, 200, "{}", String::from_utf8_lossy(&answer.body));
 }
-
-/// The processor time that a process has taken so far, of all its threads.
-fn processor_seconds(pid: u32) -> f64 {
-    let stat = fs::read_to_string(format!("/proc/{pid}/stat")).unwrap();
-    let fields = stat.rsplit(')').next().unwrap().split_whitespace().collect::<Vec<_>>();
-    let ticks = fields[11].parse::<f64>().unwrap() + fields[12].parse::<f64>().unwrap();
-    ticks / TICKS_PER_SECOND
-}
--- a/src/serve/news.rs
+++ b/src/serve/news.rs
@@ -32,6 +32,7 @@
             self.know(view.members.value.values());
             self.handle(Event::Leaving(Arc::new(view.leaving.value.clone())));
             self.refresh_members();
+            self.pools.configure(&self.document(), self.sharers());
             self.tell_news();
         }
     }
@@ -84,6 +85,14 @@
         self.handle(Event::Members(members.into()));
     }
 
+    /// The VMs of the own domain, which share its targets' connections.
+    pub(super) fn sharers(&self) -> u32 {
+        let view = self.membership.view();
+        let here =
+            view.members.value.values().filter(|member| member.domain == self.settings.domain);
+        u32::try_from(here.count()).unwrap_or(u32::MAX).max(1)
+    }
+
     fn news(&self) -> News {
         News { config: self.holder.version(), view: self.membership.view().versions() }
     }
--- a/src/serve/node.rs
+++ b/src/serve/node.rs
@@ -56,7 +56,7 @@
     pub metrics: Arc<Metrics>,
     clock: Clock,
     core: Mutex<Core>,
-    pools: Pools,
+    pub(super) pools: Pools,
     draining: AtomicBool,
     /// What may still be claimed of keys that callers made up.
     pub(super) claims: Mutex<Budget>,
@@ -127,7 +127,7 @@
 
     /// Hands a configuration to all that go by it.
     pub fn configure(self: &Arc<Self>, document: &Arc<Document>) {
-        self.pools.configure(document);
+        self.pools.configure(document, self.sharers());
         self.lock().keep(windows_of(document));
         self.handle(Event::Configure(Arc::clone(document)));
     }
--- a/src/target/pool.rs
+++ b/src/target/pool.rs
@@ -30,14 +30,16 @@
         self.pools.load().get(target).cloned()
     }
 
-    /// Makes pools for the document's targets. One whose address stays the same keeps its connections.
-    pub fn configure(&self, document: &Document) {
+    /// Makes pools for the document's targets, whose connections `sharers` VMs share. A target whose
+    /// address stays the same keeps its connections.
+    pub fn configure(&self, document: &Document, sharers: u32) {
         let old = self.pools.load();
         let pools = document.targets.iter().map(|target| {
             let kept = old.get(target.id.as_str()).filter(|pool| pool.address == target.address);
             let pool =
                 kept.map_or_else(|| Arc::new(Pool::new(target.address, self.clock)), Arc::clone);
-            pool.limit.store(target.connections, Ordering::Relaxed);
+            let part = (target.connections / sharers.max(1)).max(1);
+            pool.limit.store(part, Ordering::Relaxed);
             (Arc::from(target.id.as_str()), pool)
         });
         self.pools.store(Arc::new(pools.collect()));
--- a/tests/testenv/process.rs
+++ b/tests/testenv/process.rs
@@ -87,6 +87,22 @@
         self.child.lock().unwrap().id()
     }
 
+    /// The processor time that the process has taken so far, of all its threads.
+    pub fn processor_seconds(&self) -> f64 {
+        const TICKS_PER_SECOND: f64 = 100.0;
+        let stat = fs::read_to_string(format!("/proc/{}/stat", self.pid())).unwrap();
+        let fields = stat.rsplit(')').next().unwrap().split_whitespace().collect::<Vec<_>>();
+        let ticks = [11, 12].map(|at| fields[at].parse::<f64>().unwrap());
+        ticks.iter().sum::<f64>() / TICKS_PER_SECOND
+    }
+
+    /// The memory that the process holds, in bytes.
+    pub fn resident_bytes(&self) -> u64 {
+        const PAGE_BYTES: u64 = 4096;
+        let sizes = fs::read_to_string(format!("/proc/{}/statm", self.pid())).unwrap();
+        sizes.split_whitespace().nth(1).unwrap().parse::<u64>().unwrap() * PAGE_BYTES
+    }
+
     /// Ends the process at once.
     pub fn kill(&self) {
         let mut child = self.child.lock().unwrap();
