Give the queues of a link the room they need

Cause: a bounded channel takes its memory at once, and two queues of 8,192 frames to a peer were 3.1 MiB (idle, 16 VMs: 52.5 MiB resident a VM). Ruled out: the WebSocket buffers, 16 KiB each way. Change: 256 frames. At 60 peers the old queues alone would have taken 186 of the 256 MiB for control.

--- a/benches/capacity.rs
+++ b/benches/capacity.rs
@@ -177,40 +177,48 @@
     }));
 }
 
-/// Changes of one section among many, until they are in force on all of 4 VMs.
+/// Changes of one section among many, on 4 VMs: the time until each is in force everywhere, and what
+/// changes cost when nobody asks how far they are.
 fn sections() {
     const CHANGES: u64 = 20;
     for count in [10, 100, 520] {
         let env = start(&["a", "b"], 2, 1);
-        for number in 0..count {
-            env.configure(
-                &format!("teams/{number}"),
-                &json!([{ "name": format!("team-{number}") }]),
-            );
-        }
+        let team = |number: u64, share: u64| {
+            let section = format!("teams/{number}");
+            env.configure(&section, &json!([{ "name": format!("team-{number}"), "share": share }]));
+        };
+        (0..count).for_each(|number| team(number, 1));
+        let mut version = count + 3;
+        wait_for_version(&env, version);
         let mut times = Vec::new();
-        watch(&format!("changes={CHANGES} sections={count}"), &env, || {
-            for change in 0..CHANGES {
-                let section = format!("teams/{}", change % count);
-                let name = format!("team-{}", change % count);
-                env.configure(&section, &json!([{ "name": name, "share": 2 + change / count }]));
-                let accepted = Instant::now();
-                let version = count + 3 + change + 1;
-                wait_until("the change is in force", LIMIT, || {
-                    (0..env.len()).all(|vm| {
-                        let status = smol::block_on(env.caller(vm).status()).unwrap().body;
-                        status["config"].as_u64() == Some(version)
-                    })
-                });
-                times.push(accepted.elapsed().as_secs_f64() * 1000.0);
-            }
-        });
+        for change in 0..CHANGES {
+            team(change % count, 2 + change);
+            let accepted = Instant::now();
+            version += 1;
+            wait_for_version(&env, version);
+            times.push(accepted.elapsed().as_secs_f64() * 1000.0);
+        }
         times.sort_by(f64::total_cmp);
         let (middle, most) = (times[times.len() / 2], times[times.len() - 1]);
         println!("in-force sections={count} p50_ms={middle:.0} max_ms={most:.0}");
+        watch(&format!("changes a_second=2 sections={count}"), &env, || {
+            for change in 0..CHANGES {
+                team(change % count, 100 + change);
+                thread::sleep(WATCH / CHANGES as u32);
+            }
+        });
     }
 }
 
+fn wait_for_version(env: &Env, version: u64) {
+    wait_until("the change is in force", LIMIT, || {
+        (0..env.len()).all(|vm| {
+            let status = smol::block_on(env.caller(vm).status()).unwrap().body;
+            status["config"].as_u64() == Some(version)
+        })
+    });
+}
+
 /// Keys of ended jobs with an answer of 30 bytes each.
 fn keys() {
     let env = start(&["a"], 1, 16);
--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -9,8 +9,8 @@
 
 use crate::wire::{Call, Frame, Hello, Note, Reply};
 
-/// Frames that may wait to be sent on one link.
-const QUEUE_FRAMES: usize = 8192;
+/// Frames that may wait to be sent on one link. The queue takes its memory at once.
+const QUEUE_FRAMES: usize = 256;
 
 /// A link to another VM, from its handshake to its end.
 #[derive(Debug)]
--- a/src/peer/links.rs
+++ b/src/peer/links.rs
@@ -33,8 +33,8 @@
 /// Tries after which an address that never answered as a known VM is given up.
 const DIALS_MAX: u32 = 200;
 
-/// Frames that may wait to be sent on a link that another VM dialled.
-const REPLIES_MAX: usize = 8192;
+/// Frames that may wait to be sent on a link that another VM dialled. The queue takes its memory at once.
+const REPLIES_MAX: usize = 256;
 
 /// How often heartbeats go out, and how long silence may last before a link is given up.
 #[derive(Clone, Copy, Debug)]
