--- a/src/dispatch/engine.rs
+++ b/src/dispatch/engine.rs
@@ -25,6 +25,8 @@
 #[derive(Debug)]
 pub struct Engine {
     pub(super) own: Incarnation,
+    /// The text of `own`, which starts the name of every attempt.
+    pub(super) own_text: String,
     pub(super) domain: String,
     pub(super) random: Rng,
     pub(super) document: Arc<Document>,
@@ -94,6 +96,7 @@
     pub fn new(own: Incarnation, domain: &str, seed: u64) -> Self {
         Self {
             own,
+            own_text: own.to_string(),
             domain: domain.to_owned(),
             random: Rng::with_seed(seed),
             document: Arc::default(),
--- a/src/dispatch/run.rs
+++ b/src/dispatch/run.rs
@@ -141,7 +141,7 @@
         actions.push(Action::Start(Start {
             id,
             place: site.place(&self.fleet),
-            name: task.name.unwrap_or_else(|| format!("{}.{id}", self.own)),
+            name: task.name.unwrap_or_else(|| format!("{}.{id}", self.own_text)),
             service: service.map(|rules| rules.name.clone()).unwrap_or_default(),
             payload: task.payload,
             expected: task.declared,
--- a/tests/dispatch/model.rs
+++ b/tests/dispatch/model.rs
@@ -11,12 +11,16 @@
     Action, Adopted, Adoption, Engine, Event, Member, Place, Report, SlotMessage, Start,
 };
 use gypsumkeel::job::{Incarnation, Outcome, Spec, Task};
+use gypsumkeel::wire::{Frame, Note};
 
 /// Between a VM and a target, and between VMs of a domain and of two domains; one way, in microseconds.
 const TO_TARGET: u64 = 250;
 const IN_DOMAIN: u64 = 500;
 const ACROSS: u64 = 1_400;
 
+/// The head of a WebSocket message, in bytes.
+const WEBSOCKET: u64 = 6;
+
 /// What is left out of the quantiles, in microseconds.
 const LEARNING: u64 = 10_000_000;
 
@@ -351,10 +355,9 @@
     }
 
     fn tell(&mut self, from: usize, to: Incarnation, message: SlotMessage) {
-        let mut bytes = Vec::new();
-        ciborium::into_writer(&message, &mut bytes).unwrap();
+        let frame = Frame::Note(Note::Slots(message.clone())).encode().unwrap();
         self.told += 1;
-        self.told_bytes += bytes.len() as u64;
+        self.told_bytes += frame.len() as u64 + WEBSOCKET;
         let to = self.index(to);
         let event = Event::Slots { from: vm(from), message };
         if self.chance.f64() < self.lossy {
