Send callers on from a VM without a configuration, and log an outage once

It now answers 503, not run, as it does while it stops. - A stop in an outage wrote a line for each of its tries (6 in 2 s of drain) and the lease one for each renewal; now one at the start of the outage.

--- a/src/membership/closed.rs
+++ b/src/membership/closed.rs
@@ -76,8 +76,12 @@
 }
 
 async fn write_one(store: &dyn Store, key: &str, value: Vec<u8>) {
+    let mut failing = false;
     while let Err(error) = store.put(key, value.clone(), Condition::Always).await {
-        event!(warn, "closing-record-failed", key = key, reason = error);
+        if !failing {
+            event!(warn, "closing-record-failed", key = key, reason = error);
+        }
+        failing = true;
         let jitter = Millis(fastrand::u64(0..=PAUSE.0));
         Timer::after((PAUSE + jitter).duration()).await;
     }
--- a/src/membership/lease.rs
+++ b/src/membership/lease.rs
@@ -26,10 +26,15 @@
 pub async fn keep_lease(membership: &Membership, store: &dyn Store, prefix: &str, lease: Lease) {
     let key = key(membership, prefix);
     let mut session = None;
+    let mut failing = false;
     loop {
-        if let Err(error) = step(membership, store, &key, lease.ttl, &mut session).await {
+        let renewed = step(membership, store, &key, lease.ttl, &mut session).await;
+        if let Err(error) = &renewed
+            && !failing
+        {
             event!(warn, "lease-not-renewed", reason = error);
         }
+        failing = renewed.is_err();
         let own_changed = membership.own_changed.listen();
         let jitter = Millis(fastrand::u64(0..=lease.renew.0 / 10));
         let due = async {
--- a/src/serve/routes.rs
+++ b/src/serve/routes.rs
@@ -62,8 +62,8 @@
 }
 
 fn prefix(node: &Node) -> Result<Response, Failure> {
-    if node.is_draining() {
-        let detail = "this VM is stopping; ask another VM";
+    if !node.is_ready() {
+        let detail = "this VM is stopping or has no configuration yet; ask another VM";
         return Err(Failure::new(Reason::Unavailable, Execution::NotRun, detail));
     }
     let (prefix, fresh) = node.prefix();
