--- a/src/config/document.rs
+++ b/src/config/document.rs
@@ -282,6 +282,6 @@
 
 impl Default for WindowLimits {
     fn default() -> Self {
-        Self { length: Millis::from_secs(30), kept: 10, keys_max: 500_000, answers_max: 64 << 20 }
+        Self { length: Millis::from_secs(30), kept: 10, keys_max: 200_000, answers_max: 64 << 20 }
     }
 }
--- a/src/job/table.rs
+++ b/src/job/table.rs
@@ -201,8 +201,9 @@
         Some(entry.admission(None))
     }
 
-    /// Makes sure that a key which was never seen will not be started. False if the key is known.
-    pub fn fence(&mut self, window: u64, own: &str) -> bool {
+    /// Makes sure that a key which was never seen will not be started. False if the key is known. A full
+    /// table seals the key's whole window instead.
+    pub fn fence(&mut self, window: u64, own: &str, rules: &Windows) -> bool {
         if self.refuse_window(window).is_some() {
             return false;
         }
@@ -210,8 +211,12 @@
         if room.entries.contains_key(own) {
             return false;
         }
-        room.entries.insert(own.into(), Entry::Fenced);
-        self.keys += 1;
+        if self.keys >= rules.keys_max {
+            room.sealed = true;
+        } else {
+            room.entries.insert(own.into(), Entry::Fenced);
+            self.keys += 1;
+        }
         true
     }
 
--- a/src/serve/core.rs
+++ b/src/serve/core.rs
@@ -129,7 +129,9 @@
                 self.handle(now, Event::Cancel { job }, work);
                 Seen::Cancelling
             }
-            None if self.table.fence(key.prefix.window, &key.own) => Seen::Cancelling,
+            None if self.table.fence(key.prefix.window, &key.own, &self.windows) => {
+                Seen::Cancelling
+            }
             _ => self.look(key),
         }
     }
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -168,7 +168,7 @@
                     table.end(window, &own, Arc::new(outcome), &RULES);
                 }
                 8 => {
-                    let fenced = table.fence(window, &own);
+                    let fenced = table.fence(window, &own, &RULES);
                     assert!(!fenced || key.job.is_none(), "a started key was fenced");
                     key.not_run |= fenced;
                 }
