Keep dialling a VM that is still known, however long it can't be reached

An address was given up after 200 tries (about six minutes), so two domains cut off from each other for longer, with the membership unchanged, would have stayed apart after the cut. Found by reading; a test would have to wait out the tries, so there is none.

--- a/src/peer/links.rs
+++ b/src/peer/links.rs
@@ -30,7 +30,7 @@
 /// The longest pause between tries to dial.
 const REDIAL_MAX: Millis = Millis(2000);
 
-/// Tries after which an address that never answered as a known VM is given up.
+/// Tries in a row after which an address that no VM is known to have is given up.
 const DIALS_MAX: u32 = 200;
 
 /// Frames that may wait to be sent on a link that another VM dialled. The queue takes its memory at once.
@@ -57,6 +57,9 @@
     /// Takes news from `from`.
     fn note(self: Arc<Self>, from: Incarnation, note: Note);
 
+    /// Whether a VM is still known to have the address.
+    fn wants(&self, address: SocketAddr) -> bool;
+
     /// A link to a VM has come up or gone down.
     fn changed(self: Arc<Self>);
 }
@@ -167,7 +170,7 @@
     async fn keep(self: Arc<Self>, address: SocketAddr, handler: &Arc<dyn Handler>) {
         let mut pause = REDIAL_MIN;
         let mut failures = 0;
-        while failures < DIALS_MAX {
+        while failures < DIALS_MAX || handler.wants(address) {
             match self.dial(address, handler).await {
                 Ok(Ended::Own) => return,
                 Ok(Ended::Cut(why)) => {
--- a/src/serve/node.rs
+++ b/src/serve/node.rs
@@ -1,5 +1,6 @@
 //! One VM: what its tasks share.
 
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -364,6 +365,12 @@
         super::calls::take(&self, from, note);
     }
 
+    fn wants(&self, address: SocketAddr) -> bool {
+        let view = self.membership.view();
+        let listed = view.members.value.values().any(|member| member.peers == address);
+        listed || self.settings.peers.contains(&address)
+    }
+
     fn changed(self: Arc<Self>) {
         self.refresh_members();
         self.tell_news();
