Ask each VM met for its news, and dial back the one that dials

Now a link that comes up is asked over, and its other end is dialled back. Periodic telling was weighed: at 150 VMs it costs kilobytes a second on each link for nothing new. An address where the view or the settings expect a VM is dialled for as long as that is so; before it was given up after 200 tries, about 7 minutes, and two regions that lose each other for longer never met again. The status shows the platform's leaving marks and the members. Touches src/peer, src/serve and src/wire.

--- a/src/peer/links.rs
+++ b/src/peer/links.rs
@@ -30,7 +30,7 @@
 /// The longest pause between tries to dial.
 const REDIAL_MAX: Millis = Millis(2000);
 
-/// Tries after which an address that never answered as a known VM is given up.
+/// Tries in a row after which an address is given up where no VM is expected.
 const DIALS_MAX: u32 = 200;
 
 /// Frames that may wait to be sent on a link that another VM dialled. The queue takes its memory at once.
@@ -59,6 +59,12 @@
 
     /// A link to a VM has come up or gone down.
     fn changed(self: Arc<Self>);
+
+    /// A link to a VM has come up: what it has and this VM lacks is to be asked for.
+    fn met(self: Arc<Self>, link: Arc<Link>);
+
+    /// Whether there should be a VM at the address, so that it is dialled for as long as that is so.
+    fn expects(&self, address: SocketAddr) -> bool;
 }
 
 /// All links that this VM dialled.
@@ -145,12 +151,19 @@
     }
 
     /// Serves a connection that another VM dialled, until it ends.
-    pub async fn serve(&self, stream: TcpStream, handler: &Arc<dyn Handler>) -> Result<(), Broken> {
+    ///
+    /// The VM at the other end is dialled too: it may be new, and known to nobody while the store is out.
+    pub async fn serve(
+        self: &Arc<Self>,
+        stream: TcpStream,
+        handler: &Arc<dyn Handler>,
+    ) -> Result<(), Broken> {
         drop(stream.set_nodelay(true));
         let (mut sink, mut source) =
             within(self.rules.patience, socket::accept(stream, Arc::clone(&self.volume))).await?;
         sink.send(&Frame::Hello(self.own.clone())).await?;
         let hello = within(self.rules.patience, receive_hello(&mut source)).await?;
+        self.know(hello.peers, handler);
         let (queue, frames) = channel::bounded(REPLIES_MAX);
         let owed = Arc::new(AtomicUsize::new(0));
         self.owed.lock().unwrap_or_else(PoisonError::into_inner).push(Arc::downgrade(&owed));
@@ -167,7 +180,7 @@
     async fn keep(self: Arc<Self>, address: SocketAddr, handler: &Arc<dyn Handler>) {
         let mut pause = REDIAL_MIN;
         let mut failures = 0;
-        while failures < DIALS_MAX {
+        while failures < DIALS_MAX || handler.expects(address) {
             match self.dial(address, handler).await {
                 Ok(Ended::Own) => return,
                 Ok(Ended::Cut(why)) => {
@@ -208,6 +221,7 @@
         self.change(handler, |up| {
             up.insert(link.hello.incarnation, Arc::clone(&link));
         });
+        Arc::clone(handler).met(Arc::clone(&link));
         let ended = self.run(&link, &mut source, sink.drain(&frames, &AtomicUsize::new(0))).await;
         link.end();
         self.change(handler, |up| {
--- a/src/serve/calls.rs
+++ b/src/serve/calls.rs
@@ -35,6 +35,7 @@
             Reply::Report(node.adopt(Event::Adopt { adopted, adoption }).await)
         }
         Call::Since { version } => Reply::Update(node.holder.snapshot().since(version)),
+        Call::News => Reply::News(node.news()),
         Call::View => Reply::View(View::clone(&node.membership.view())),
         Call::Fate { start } => {
             let adopted = Adopted { coordinator: from, start };
--- a/src/serve/news.rs
+++ b/src/serve/news.rs
@@ -5,7 +5,7 @@
 use crate::dispatch::{Event, Member};
 use crate::job::Incarnation;
 use crate::membership::{Registration, View};
-use crate::peer::Handler;
+use crate::peer::{Handler, Link};
 use crate::runtime;
 use crate::wire::{Call, News, Note, Reply};
 
@@ -45,6 +45,15 @@
         }
     }
 
+    /// Asks a VM to which a link has come up how new its configuration and view are.
+    ///
+    /// What it told before may have been lost, since it is heard over its own link but asked over this.
+    pub(super) async fn ask_news(self: Arc<Self>, link: Arc<Link>) {
+        if let Ok(Reply::News(theirs)) = link.call(Call::News).await {
+            self.catch_up(link.hello.incarnation, theirs);
+        }
+    }
+
     /// Asks a peer for what it has and this VM lacks.
     pub(super) fn catch_up(self: &Arc<Self>, peer: Incarnation, theirs: News) {
         let own = self.news();
@@ -93,7 +102,8 @@
         u32::try_from(here.count()).unwrap_or(u32::MAX).max(1)
     }
 
-    fn news(&self) -> News {
+    /// How new the configuration and the view are here.
+    pub(super) fn news(&self) -> News {
         News { config: self.holder.version(), view: self.membership.view().versions() }
     }
 
--- a/src/serve/node.rs
+++ b/src/serve/node.rs
@@ -1,5 +1,6 @@
 //! One VM: what its tasks share.
 
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -17,7 +18,7 @@
 use crate::membership::Membership;
 use crate::membership::claim::Budget;
 use crate::metrics::{self, Metrics};
-use crate::peer::{Handler, Links};
+use crate::peer::{Handler, Link, Links};
 use crate::platform::Store;
 use crate::runtime;
 use crate::settings::Settings;
@@ -366,6 +367,15 @@
 
     fn changed(self: Arc<Self>) {
         self.refresh_members();
-        self.tell_news();
+    }
+
+    fn met(self: Arc<Self>, link: Arc<Link>) {
+        runtime::spawn(self.ask_news(link)).detach();
+    }
+
+    fn expects(&self, address: SocketAddr) -> bool {
+        let view = self.membership.view();
+        let mut members = view.members.value.values();
+        self.settings.peers.contains(&address) || members.any(|member| member.peers == address)
     }
 }
--- a/src/serve/routes.rs
+++ b/src/serve/routes.rs
@@ -141,9 +141,10 @@
     let peers = up.values().map(|link| {
         json!({ "vm": link.hello.vm, "domain": link.hello.domain, "incarnation": link.hello.incarnation })
     });
-    let document = node.document();
+    let (document, view) = (node.document(), node.membership.view());
     let targets = document.targets.iter().map(|target| {
-        json!({ "id": target.id, "domain": target.domain, "slots": target.slots, "leaving": target.leaving })
+        let leaving = target.leaving || view.leaving.value.contains(&target.id);
+        json!({ "id": target.id, "domain": target.domain, "slots": target.slots, "leaving": leaving })
     });
     let (counts, keys, window) = {
         let core = node.lock();
@@ -161,6 +162,7 @@
         "config": node.holder.version(),
         "store": node.store.calls(),
         "links": node.links.volume(),
+        "members": view.members.value.values().collect::<Vec<_>>(),
         "peers": peers.collect::<Vec<_>>(),
         "targets": targets.collect::<Vec<_>>(),
     })
--- a/src/wire/frame.rs
+++ b/src/wire/frame.rs
@@ -90,6 +90,8 @@
     },
     /// Tell which VMs there are and which targets leave.
     View,
+    /// Tell how new the configuration and the view are.
+    News,
     /// Tell how a task ended; one that has not started never will.
     Fate {
         /// The caller's number for the attempt.
@@ -126,6 +128,8 @@
     Seen(Seen),
     /// To `Run` and `Fate`.
     Report(Report),
+    /// To `News`.
+    News(News),
     /// To `Since`.
     Update(Update),
     /// To `View`.
--- a/tests/testenv/env.rs
+++ b/tests/testenv/env.rs
@@ -154,6 +154,18 @@
         self.launch(index);
     }
 
+    /// Starts a further VM that knows only the VMs at `contacts`, and that no other VM is told of.
+    pub fn start_stranger(&self, domain: &str, contacts: &[usize]) -> Vm {
+        let like = self.places.iter().find(|place| place.domain == domain).unwrap();
+        let mut place = like.clone();
+        "lantern-stranger".clone_into(&mut place.name);
+        place.settings["vm"] = json!(place.name);
+        place.settings["advertise"] = json!({});
+        let contacts = contacts.iter().map(|&index| self.peer_proxies[index].address);
+        place.settings["peers"] = json!(contacts.collect::<Vec<_>>());
+        Vm::start(&self.directory, &place)
+    }
+
     /// Takes a prefix from the VM at `index`, and waits until every VM knows that VM.
     pub async fn keys(&self, index: usize) -> String {
         let prefix = self.caller(index).keys().await.unwrap();
