--- a/tests/news.rs
+++ b/tests/news.rs
@@ -123,8 +123,9 @@
     let env = env(&["a", "b"], 1);
     let old = change(&env, 1);
     in_force(&env, "before", &[0, 1], old);
+    wait_until("both wait on the head", LIMIT, || env.store.waiting("config/head") == 2);
     env.store.stale(true);
-    // Waiting calls of the VMs were on the live state, so they learn of this one.
+    // The calls that wait are on the live state, so the VMs learn of this one.
     let new = change(&env, 2);
     in_force(&env, "by the calls that waited", &[0, 1], new);
     env.replace(0);
--- a/tests/testenv/store.rs
+++ b/tests/testenv/store.rs
@@ -84,6 +84,8 @@
     faults: Mutex<Faults>,
     streams: Mutex<Vec<TcpStream>>,
     targets: Mutex<BTreeMap<String, bool>>,
+    /// The keys that calls wait on now.
+    waiting: Mutex<Vec<String>>,
     rates: Rates,
     clock: Clock,
     /// Second and calls in it, for reads and for writes.
@@ -111,6 +113,7 @@
             faults: Mutex::default(),
             streams: Mutex::default(),
             targets: Mutex::default(),
+            waiting: Mutex::default(),
             rates,
             clock,
             used: Mutex::default(),
@@ -190,6 +193,12 @@
         self.shared.publish();
     }
 
+    /// How many calls wait on keys that contain `part`.
+    pub fn waiting(&self, part: &str) -> usize {
+        let waiting = self.shared.waiting.lock().unwrap();
+        waiting.iter().filter(|key| key.contains(part)).count()
+    }
+
     pub fn seen(&self) -> Seen {
         let read = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
         Seen {
@@ -343,7 +352,14 @@
         let read = memory.list(key, after, wait).await.expect("memory does not fail");
         return pairs(read);
     }
-    let Read { value, index } = memory.watch(key, after, wait).await.expect("memory does not fail");
+    let waiting = || shared.waiting.lock().unwrap();
+    waiting().extend((after > 0).then(|| key.to_owned()));
+    let read = memory.watch(key, after, wait).await;
+    if after > 0 {
+        let place = waiting().iter().position(|waits| waits == key);
+        place.map(|place| waiting().swap_remove(place));
+    }
+    let Read { value, index } = read.expect("memory does not fail");
     pairs(Read { value: value.into_iter().collect(), index })
 }
 
