Find all silent connections to a target by the first one

Cause: each idle connection was proved in turn, one connect_timeout each, so a target whose 8 idle connections had gone silent held up a task for 8 s, and only tasks that may not be repeated were proved at all. Ruled out: the proxy's new connections, which work. Change: the first failed proof, or a lost answer, closes the other idle connections of the target, and every task on a connection that idled too long gets the proof.

--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -17,6 +17,9 @@
 /// The silence after which the system probes a connection, and the time between probes.
 const KEEPALIVE: Millis = Millis(2000);
 
+/// Unanswered probes after which the system gives the connection up.
+const KEEPALIVE_RETRIES: u32 = 3;
+
 /// How long written bytes may stay unacknowledged before the system gives the connection up.
 const USER_TIMEOUT: Millis = Millis(6000);
 
@@ -161,8 +164,10 @@
 
 /// Sends at once, and lets the system find connections that have gone silent.
 fn prepare(stream: &TcpStream) -> io::Result<()> {
-    let keepalive =
-        TcpKeepalive::new().with_time(KEEPALIVE.duration()).with_interval(KEEPALIVE.duration());
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE.duration())
+        .with_interval(KEEPALIVE.duration())
+        .with_retries(KEEPALIVE_RETRIES);
     let socket = SockRef::from(stream);
     socket.set_tcp_nodelay(true)?;
     socket.set_tcp_keepalive(&keepalive)?;
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -183,7 +183,7 @@
     /// The longest that opening a connection may take.
     #[serde_as(as = "Span")]
     pub connect_timeout: Millis,
-    /// The idle time after which a connection is proved before it gets a task that may not be repeated.
+    /// The idle time after which a connection is proved before it gets a task.
     #[serde_as(as = "Span")]
     pub prove_after: Millis,
 }
--- a/src/target/attempt.rs
+++ b/src/target/attempt.rs
@@ -19,14 +19,14 @@
 pub struct Rules {
     /// How long to wait for a connection, and for the proof of one.
     pub connect_timeout: Millis,
-    /// The idle time after which a connection is proved before a task that may not be repeated.
+    /// The idle time after which a connection is proved before a task is written to it.
     pub prove_after: Millis,
 }
 
 impl Pool {
     /// Runs one attempt and tells how it ended. Only what was never written is called unsent.
     pub async fn run(self: &Arc<Self>, start: &Start, rules: Rules) -> Report {
-        let mut lease = match self.connect(start, rules).await {
+        let mut lease = match self.connect(rules).await {
             Ok(lease) => lease,
             Err(error) => return Report::Unsent(error.to_string()),
         };
@@ -46,17 +46,20 @@
             Ok(answer) => finish(lease, start, &answer),
             Err(Error::Unsent(why)) => Report::Unsent(why),
             Err(Error::Lost(why)) => {
+                self.forget_idle();
                 Report::Lost(format!("the target's answer was lost: {why}{ASK}"))
             }
         }
     }
 
-    async fn connect(self: &Arc<Self>, start: &Start, rules: Rules) -> Result<Lease, Error> {
-        while let Some(mut lease) = self.reuse().await {
-            let fresh = start.repeatable || lease.idle < rules.prove_after;
-            if fresh || prove(&mut lease, rules.connect_timeout).await {
+    /// A connection that is fresh, proved or new. What made one connection go silent has most likely hit
+    /// the others that are idle, so one that fails its proof is the last that is tried.
+    async fn connect(self: &Arc<Self>, rules: Rules) -> Result<Lease, Error> {
+        if let Some(mut lease) = self.reuse().await {
+            if lease.idle < rules.prove_after || prove(&mut lease, rules.connect_timeout).await {
                 return Ok(lease);
             }
+            self.forget_idle();
         }
         self.open(rules.connect_timeout).await
     }
--- a/src/target/pool.rs
+++ b/src/target/pool.rs
@@ -1,6 +1,7 @@
 //! The connections to one target, and the pools of all targets.
 
 use std::collections::HashMap;
+use std::mem;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -96,6 +97,15 @@
         }
     }
 
+    /// Closes all idle connections.
+    pub fn forget_idle(&self) {
+        let idle = mem::take(&mut *self.idle.lock().unwrap_or_else(PoisonError::into_inner));
+        self.open.fetch_sub(idle.len() as u32, Ordering::Relaxed);
+        for idle in idle {
+            idle.connection.close();
+        }
+    }
+
     /// Opens a new connection, unless the target has as many as it takes.
     pub async fn open(self: &Arc<Self>, timeout: Millis) -> Result<Lease, Error> {
         let limit = self.limit.load(Ordering::Relaxed);
