Close connections whose sender never ends a refused body

A refusal of a body that is too large or too slow (413, 408) was written at once, but the connection then stayed open as long as its sender liked: the library reads on to the end of the body before it gives the connection back. A few such senders could hold every place of `callers.connections_max`, and a planned stop. Now the connection is closed once a refusal was written one head_timeout ago; complete answers are not hurried.

--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -10,7 +10,7 @@
 use async_h1::server::{ConnectionStatus, Server};
 use http_types::{Request, Response};
 use smol::Timer;
-use smol::future::{self, FutureExt as _};
+use smol::future::FutureExt as _;
 use smol::io::{AsyncRead, AsyncWrite, AsyncWriteExt as _};
 use smol::net::{TcpListener, TcpStream};
 
@@ -110,16 +110,23 @@
     handler: Arc<dyn Handler>,
 ) {
     let asked = Arc::new(AtomicBool::new(false));
+    let refused = Arc::new(AtomicBool::new(false));
     let metered = Metered { stream: stream.clone(), left: Arc::new(AtomicU64::new(0)) };
     let endpoint = {
         let asked = Arc::clone(&asked);
+        let refused = Arc::clone(&refused);
         let handler = Arc::clone(&handler);
         let traffic = Arc::clone(traffic);
         move |request| {
             asked.store(true, Ordering::Relaxed);
             traffic.busy.fetch_add(1, Ordering::Relaxed);
             let answer = Arc::clone(&handler).answer(request);
-            async move { Ok(answer.await) }
+            let refused = Arc::clone(&refused);
+            async move {
+                let response = answer.await;
+                refused.store(!response.status().is_success(), Ordering::Relaxed);
+                Ok(response)
+            }
         }
     };
     let left = Arc::clone(&metered.left);
@@ -127,11 +134,9 @@
     loop {
         left.store(HEAD_MAX_BYTES + 2 * handler.body_max(), Ordering::Relaxed);
         asked.store(false, Ordering::Relaxed);
+        refused.store(false, Ordering::Relaxed);
         let late = async {
-            Timer::after(rules.head_timeout.duration()).await;
-            if asked.load(Ordering::Relaxed) {
-                future::pending::<()>().await;
-            }
+            give_up(rules.head_timeout, &asked, &refused).await;
             Ok(ConnectionStatus::Close)
         };
         let end = server.accept_one().or(late).await;
@@ -152,6 +157,19 @@
     drop(stream.shutdown(std::net::Shutdown::Write));
 }
 
+/// Ends when no head has arrived in time, or when a refusal was written that long ago and the library still
+/// waits for the rest of a body that nobody reads.
+async fn give_up(limit: Millis, asked: &AtomicBool, refused: &AtomicBool) {
+    let mut was_refused = false;
+    loop {
+        Timer::after(limit.duration()).await;
+        if was_refused || !asked.load(Ordering::Relaxed) {
+            return;
+        }
+        was_refused = refused.load(Ordering::Relaxed);
+    }
+}
+
 /// Answers a request whose head can't be read.
 async fn refuse(mut stream: TcpStream, error: &http_types::Error) {
     let detail = format!("the request can't be read: {error}; see docs/API.md");
