--- a/tests/news.rs
+++ b/tests/news.rs
@@ -182,3 +182,37 @@
     wait_until("its keys are served", LIMIT, || submit().is_ok_and(|reply| reply.status == 200));
     assert_eq!(env.ledger.total(), 3);
 }
+
+/// Run by command: `cargo test --release --test news -- --ignored --nocapture`.
+#[test]
+#[ignore = "a measurement of two minutes"]
+fn store_calls_of_a_vm_in_a_minute() {
+    const MINUTE: Duration = Duration::from_mins(1);
+    const CHANGES: u32 = 40;
+    let env = env(&["a", "b", "c"], 2);
+    let before = |env: &Env| (0..6).map(|index| status(env, index)["store"].clone()).collect();
+    let report = |what: &str, before: Vec<Value>| {
+        for (index, before) in before.iter().enumerate() {
+            let now = status(&env, index)["store"].clone();
+            let calls = ["reads", "writes", "watches"].map(|kind| {
+                let number = |calls: &Value| calls[kind].as_u64().unwrap();
+                format!("{kind} {}", number(&now) - number(before))
+            });
+            println!("{what}, VM {index}: {}", calls.join(", "));
+        }
+    };
+    let begun: Vec<Value> = before(&env);
+    std::thread::sleep(MINUTE);
+    report("idle, one minute", begun);
+    let begun: Vec<Value> = before(&env);
+    let mut slowest = Duration::ZERO;
+    for share in 1..=CHANGES {
+        let expected = change(&env, share);
+        let since = Instant::now();
+        wait_until("in force", LIMIT, || (0..6).all(|index| version(&env, index) == expected));
+        slowest = slowest.max(since.elapsed());
+        std::thread::sleep((MINUTE / CHANGES).saturating_sub(since.elapsed()));
+    }
+    report("40 changes in one minute", begun);
+    println!("slowest change in force on 6 VMs after {} ms", slowest.as_millis());
+}
