Prove the operators' tool and VMs that come and go; measure changes by sections

Eight processes race on one section for five rounds with lost answers: one is accepted each round, seven get a conflict that names who. VMs killed, stopped and replaced during an outage serve each other's keys at once and are the ones known after it, when the leases of the old ones have lapsed.

--- a/tests/config.rs
+++ b/tests/config.rs
@@ -3,14 +3,16 @@
 mod testenv;
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::io::Write as _;
+use std::process::{Command, Stdio};
 use std::sync::Arc;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use gypsumkeel::clock::Millis;
+use gypsumkeel::clock::{Clock, Millis};
 use gypsumkeel::config::operator::{self, Edit, Place, Rejection, Section};
 use gypsumkeel::config::{self, Change, Head, Holder, Name, Offer, Refusal};
-use gypsumkeel::platform::{self, Consul, Store as _};
+use gypsumkeel::platform::{self, Consul, Memory, Store as _};
 use testenv::store::Store;
 use testenv::wait_until;
 
@@ -343,3 +345,113 @@
     println!("head with every field at its longest: {size} bytes");
     assert!(size < config::TEXT_MAX_BYTES, "{size}");
 }
+
+/// One run of the operators' tool: its exit code and what it printed.
+fn tool(store: &Store, words: &str, input: &str) -> (i32, String) {
+    let url = store.url();
+    let mut child = Command::new(env!("CARGO_BIN_EXE_gypsumkeel"))
+        .args(words.split(' ').take(2))
+        .args(["--store", &url, "--prefix", PREFIX])
+        .args(words.split(' ').skip(2))
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    child.stdin.take().unwrap().write_all(input.as_bytes()).unwrap();
+    let output = child.wait_with_output().unwrap();
+    let text = [output.stdout, output.stderr].concat();
+    (output.status.code().unwrap(), String::from_utf8(text).unwrap())
+}
+
+#[test]
+fn racing_processes_change_one_section_once_each_and_their_own_freely() {
+    const OPERATORS: u64 = 8;
+    const ROUNDS: u64 = 5;
+    let store = Store::start();
+    for round in 0..ROUNDS {
+        store.lose("config/head", 2);
+        let store = &store;
+        thread::scope(|scope| {
+            let runs = (0..OPERATORS).map(|number| {
+                scope.spawn(move || {
+                    let words = |section: &str| {
+                        format!(
+                            "config apply --section {section} --base {round} --who op-{number} --why race -"
+                        )
+                    };
+                    let (own, share) = (format!("teams/{number}"), number + 1);
+                    let (code, text) = tool(store, &words(&own), &team(&own, share));
+                    assert_eq!(code, 0, "{text}");
+                    tool(store, &words("teams/all"), &team("all", share))
+                })
+            });
+            let runs = runs.collect::<Vec<_>>();
+            let ended = runs.into_iter().map(|run| run.join().unwrap()).collect::<Vec<_>>();
+            let accepted = ended.iter().filter(|(code, _)| *code == 0).count();
+            let conflicts =
+                ended.iter().filter(|(code, text)| *code == 3 && text.contains("by op-")).count();
+            assert_eq!((accepted, conflicts), (1, OPERATORS as usize - 1), "{ended:?}");
+        });
+    }
+    let history = Desk::new(&store).history();
+    assert_eq!(history.len() as u64, ROUNDS * (OPERATORS + 1));
+    let ids = history.iter().map(|change| &change.id).collect::<BTreeSet<_>>();
+    assert_eq!(ids.len(), history.len());
+    assert!(history.iter().all(|change| change.who.starts_with("op-") && change.why == "race"));
+    store.close();
+}
+
+/// Run by command: `cargo test --release --test config -- --ignored --nocapture`.
+#[test]
+#[ignore = "a measurement"]
+fn cost_of_a_change_by_the_number_of_sections() {
+    const CHANGES: u64 = 50;
+    println!("sections, head bytes, whole state bytes, news bytes, apply us, reads, in force us");
+    for sections in [10, 50, 100, 200, 520] {
+        let store = Arc::new(Memory::new(Clock::start()));
+        let place = Place { store: &*store, prefix: PREFIX };
+        let apply = |section: u64, base, share| {
+            let name = format!("teams/team-{section:04}");
+            let text = team(&name, share);
+            let edit = Edit {
+                section: &name.parse().unwrap(),
+                base,
+                text: Some(&text),
+                who: "operator",
+                why: "slope",
+            };
+            smol::block_on(operator::apply(place, edit, PATIENCE)).unwrap()
+        };
+        (0..sections).for_each(|section| drop(apply(section, 0, 1)));
+        let holder = reader(Arc::clone(&store));
+        wait_until("the whole", LIMIT, || holder.version() == sections);
+        let (reads, begun) = (store.calls().reads, Instant::now());
+        for change in 0..CHANGES {
+            let section = change * 7 % sections;
+            let base = smol::block_on(operator::get(place, None)).unwrap().1;
+            let name = format!("teams/team-{section:04}");
+            let base = base.iter().find(|one| one.name.to_string() == name).unwrap();
+            apply(section, base.reference.version, change + 2);
+        }
+        let spent = begun.elapsed().as_micros() / u128::from(CHANGES);
+        let reads = (store.calls().reads - reads) / CHANGES;
+        wait_until("the changes", LIMIT, || holder.version() == sections + CHANGES);
+        let last = holder.snapshot();
+        let whole = last.since(0);
+        let step = last.since(last.version - 1);
+        let begun = Instant::now();
+        for _ in 0..CHANGES {
+            let fresh = Holder::default();
+            fresh.offer(whole.clone()).unwrap();
+        }
+        let taken = begun.elapsed().as_micros() / u128::from(CHANGES);
+        let size = |update| serde_json::to_vec(update).unwrap().len();
+        let head = store.peek(&format!("{PREFIX}/config/head")).unwrap().len();
+        println!(
+            "{sections}, {head}, {}, {}, {spent}, {reads}, {taken}",
+            size(&whole),
+            size(&step)
+        );
+    }
+}
--- a/tests/news.rs
+++ b/tests/news.rs
@@ -183,6 +183,48 @@
     assert_eq!(env.ledger.total(), 3);
 }
 
+#[test]
+fn vms_that_come_and_go_during_an_outage_are_known_after_it() {
+    let env = Env::start(&Setup {
+        domains: &["a", "b", "c"],
+        settings: json!({ "lease": { "ttl": "10s", "renew": "1s" } }),
+        ..Setup::default()
+    });
+    let known = |index| {
+        let members = status(&env, index)["members"].clone();
+        let members = members.as_array().unwrap().iter();
+        members.map(|member| member["incarnation"].clone()).collect::<Vec<_>>()
+    };
+    wait_until("all registered", LIMIT, || (0..3).all(|index| known(index).len() == 3));
+    env.store.down(true);
+    env.replace(0);
+    env.vm(1).stop();
+    assert!(env.vm(1).wait().success());
+    env.replace(1);
+    let serve = |what: &str| {
+        smol::block_on(async {
+            for index in 0..3 {
+                let prefix = env.keys(index).await;
+                let job = Job::new(&format!("{what}-{index}"), 4, 1);
+                let key = format!("{prefix}.{what}");
+                let reply = env.caller((index + 1) % 3).submit(&key, &job).await.unwrap();
+                assert!(reply.is_whole(&job.ids), "{what} {index}: {reply:?}");
+            }
+        });
+    };
+    serve("outage");
+    assert_eq!(known(2).len(), 3, "the outage dropped a VM from the view");
+    env.store.down(false);
+    let running = (0..3).map(|index| status(&env, index)["incarnation"].clone());
+    let running = running.collect::<Vec<_>>();
+    let is_right = |index| {
+        let known = known(index);
+        known.len() == 3 && running.iter().all(|incarnation| known.contains(incarnation))
+    };
+    wait_until("the right ones", Duration::from_secs(40), || (0..3).all(is_right));
+    serve("after");
+}
+
 /// Run by command: `cargo test --release --test news -- --ignored --nocapture`.
 #[test]
 #[ignore = "a measurement of two minutes"]
