--- a/tests/news.rs
+++ b/tests/news.rs
@@ -182,3 +182,79 @@
     wait_until("its keys are served", LIMIT, || submit().is_ok_and(|reply| reply.status == 200));
     assert_eq!(env.ledger.total(), 3);
 }
+
+#[test]
+fn vms_that_come_and_go_during_an_outage_are_known_after_it() {
+    let env = Env::start(&Setup {
+        domains: &["a", "b", "c"],
+        settings: json!({ "lease": { "ttl": "10s", "renew": "1s" } }),
+        ..Setup::default()
+    });
+    let known = |index| {
+        let members = status(&env, index)["members"].clone();
+        let members = members.as_array().unwrap().iter();
+        members.map(|member| member["incarnation"].clone()).collect::<Vec<_>>()
+    };
+    wait_until("all registered", LIMIT, || (0..3).all(|index| known(index).len() == 3));
+    env.store.down(true);
+    env.replace(0);
+    env.vm(1).stop();
+    assert!(env.vm(1).wait().success());
+    env.replace(1);
+    let serve = |what: &str| {
+        smol::block_on(async {
+            for index in 0..3 {
+                let prefix = env.keys(index).await;
+                let job = Job::new(&format!("{what}-{index}"), 4, 1);
+                let key = format!("{prefix}.{what}");
+                let reply = env.caller((index + 1) % 3).submit(&key, &job).await.unwrap();
+                assert!(reply.is_whole(&job.ids), "{what} {index}: {reply:?}");
+            }
+        });
+    };
+    serve("outage");
+    assert_eq!(known(2).len(), 3, "the outage dropped a VM from the view");
+    env.store.down(false);
+    let running = (0..3).map(|index| status(&env, index)["incarnation"].clone());
+    let running = running.collect::<Vec<_>>();
+    let is_right = |index| {
+        let known = known(index);
+        known.len() == 3 && running.iter().all(|incarnation| known.contains(incarnation))
+    };
+    wait_until("the right ones", Duration::from_secs(40), || (0..3).all(is_right));
+    serve("after");
+}
+
+/// Run by command: `cargo test --release --test news -- --ignored --nocapture`.
+#[test]
+#[ignore = "a measurement of two minutes"]
+fn store_calls_of_a_vm_in_a_minute() {
+    const MINUTE: Duration = Duration::from_mins(1);
+    const CHANGES: u32 = 40;
+    let env = env(&["a", "b", "c"], 2);
+    let before = |env: &Env| (0..6).map(|index| status(env, index)["store"].clone()).collect();
+    let report = |what: &str, before: Vec<Value>| {
+        for (index, before) in before.iter().enumerate() {
+            let now = status(&env, index)["store"].clone();
+            let calls = ["reads", "writes", "watches"].map(|kind| {
+                let number = |calls: &Value| calls[kind].as_u64().unwrap();
+                format!("{kind} {}", number(&now) - number(before))
+            });
+            println!("{what}, VM {index}: {}", calls.join(", "));
+        }
+    };
+    let begun: Vec<Value> = before(&env);
+    std::thread::sleep(MINUTE);
+    report("idle, one minute", begun);
+    let begun: Vec<Value> = before(&env);
+    let mut slowest = Duration::ZERO;
+    for share in 1..=CHANGES {
+        let expected = change(&env, share);
+        let since = Instant::now();
+        wait_until("in force", LIMIT, || (0..6).all(|index| version(&env, index) == expected));
+        slowest = slowest.max(since.elapsed());
+        std::thread::sleep((MINUTE / CHANGES).saturating_sub(since.elapsed()));
+    }
+    report("40 changes in one minute", begun);
+    println!("slowest change in force on 6 VMs after {} ms", slowest.as_millis());
+}
