--- a/tests/testenv/env.rs
+++ b/tests/testenv/env.rs
@@ -142,6 +142,12 @@
         self.store_proxies[domain].shut_out(shut, |_| true);
     }
 
+    /// Ends a domain's cut.
+    pub fn join(&self, domain: &str) {
+        self.peer_proxies.iter().for_each(Proxy::heal);
+        self.store_proxies[domain].heal();
+    }
+
     /// Ends the faults of every proxy.
     pub fn heal(&self) {
         self.peer_proxies.iter().chain(&self.target_proxies).for_each(Proxy::heal);
--- a/tests/testenv/proxy.rs
+++ b/tests/testenv/proxy.rs
@@ -63,7 +63,6 @@
 
 struct Shared {
     upstream: Mutex<Option<SocketAddr>>,
-    refuse: AtomicBool,
     shut_out: Mutex<Option<Rule>>,
     delay_ms: AtomicU64,
     all: Freeze,
@@ -85,17 +84,15 @@
 pub struct Proxy {
     pub address: SocketAddr,
     shared: Arc<Shared>,
-    _accepting: Task<()>,
+    /// `None` while the port is closed.
+    accepting: Mutex<Option<Task<()>>>,
 }
 
 impl Proxy {
     /// Starts one on a free port.
     pub fn start(upstream: Option<SocketAddr>) -> Self {
-        let listener = smol::block_on(TcpListener::bind((Ipv4Addr::LOCALHOST, 0))).unwrap();
-        let address = listener.local_addr().unwrap();
         let shared = Arc::new(Shared {
             upstream: Mutex::new(upstream),
-            refuse: AtomicBool::default(),
             shut_out: Mutex::default(),
             delay_ms: AtomicU64::default(),
             all: Freeze::default(),
@@ -104,8 +101,8 @@
             accepted: AtomicUsize::default(),
             links: Mutex::default(),
         });
-        let accepting = EXECUTOR.spawn(accept(listener, Arc::clone(&shared)));
-        Self { address, shared, _accepting: accepting }
+        let (address, accepting) = listen((Ipv4Addr::LOCALHOST, 0).into(), &shared);
+        Self { address, shared, accepting: Mutex::new(Some(accepting)) }
     }
 
     /// Names what stands behind it.
@@ -119,9 +116,14 @@
         end(links.into_iter().map(|link| link.pump));
     }
 
-    /// Resets new connections as soon as they are made, or lets them through again.
+    /// Closes the port, so that new connections are refused, or opens it again.
     pub fn refuse(&self, on: bool) {
-        self.shared.refuse.store(on, Ordering::Relaxed);
+        let mut accepting = self.accepting.lock().unwrap();
+        if on {
+            end(accepting.take());
+        } else if accepting.is_none() {
+            *accepting = Some(listen(self.address, &self.shared).1);
+        }
     }
 
     /// Shuts out, now and from now on, the connections whose first bytes meet `rule`. The first
@@ -183,13 +185,16 @@
     }
 }
 
+fn listen(address: SocketAddr, shared: &Arc<Shared>) -> (SocketAddr, Task<()>) {
+    let listener = smol::block_on(TcpListener::bind(address)).unwrap();
+    let bound = listener.local_addr().unwrap();
+    (bound, EXECUTOR.spawn(accept(listener, Arc::clone(shared))))
+}
+
 async fn accept(listener: TcpListener, shared: Arc<Shared>) {
     while let Ok((stream, _)) = listener.accept().await {
         reset_on_close(&stream);
         shared.accepted.fetch_add(1, Ordering::Relaxed);
-        if shared.refuse.load(Ordering::Relaxed) {
-            continue;
-        }
         let freeze = Arc::new(Freeze::default());
         let first = Arc::<Mutex<Vec<u8>>>::default();
         let pump = pump(Arc::clone(&shared), stream, Arc::clone(&freeze), Arc::clone(&first));
