Prove that refusals which say not run are true

Under overload, with full, leaving and dead targets, with the store out, and for a broken resubmission of a key whose job ran. Copies of a refused submission get the same refusal for ever.

With the store out a caller-made key is refused as 'unknown', since only the store knows whether an earlier copy was claimed.

--- /dev/null
+++ b/tests/guarantees_refusals.rs
@@ -0,0 +1,152 @@
+//! A refusal that says "not run" is true, then and for ever.
+
+mod testenv;
+
+use std::collections::HashSet;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use futures_util::future::join_all;
+use serde_json::json;
+
+use testenv::{Env, Job, Reply, Setup, until};
+
+const LIMIT: Duration = Duration::from_secs(20);
+
+fn refused(reply: &Reply, statuses: &[u16]) {
+    assert!(statuses.contains(&reply.status), "{reply:?}");
+    assert_eq!(reply.execution(), "not-run", "{reply:?}");
+}
+
+fn starts(env: &Env, job: &Job) -> usize {
+    job.ids.iter().map(|id| env.ledger.starts(id)).sum()
+}
+
+#[test]
+fn what_is_refused_under_overload_never_runs() {
+    let limits = json!({ "queue": { "tasks_max": 20 } });
+    let setup = Setup { domains: &["a"], vms: 2, targets: 1, limits, ..Setup::default() };
+    let env = Env::start(&setup);
+    smol::block_on(async {
+        let prefix = &env.keys(0).await;
+        let env = &env;
+        let jobs = (0..40).map(|number| Job::new(&format!("job-{number}"), 4, 80));
+        let jobs = jobs.collect::<Vec<_>>();
+        let submit = |number: usize, job| async move {
+            env.caller(number % 2).submit(&format!("{prefix}.{number}"), job).await.unwrap()
+        };
+        let calls = jobs.iter().enumerate().map(|(number, job)| submit(number, job));
+        let replies = join_all(calls).await;
+        let mut refusals = 0;
+        for (number, (job, reply)) in jobs.iter().zip(&replies).enumerate() {
+            if reply.is_whole(&job.ids) {
+                continue;
+            }
+            refused(reply, &[429, 503]);
+            refusals += 1;
+            // A delayed copy gets the same refusal, though there is room now.
+            refused(&submit(number, job).await, &[429, 503]);
+            assert_eq!(starts(env, job), 0);
+        }
+        assert!((1..40).contains(&refusals), "{refusals} refusals");
+        assert_eq!(env.ledger.repeated(&HashSet::new()), []);
+    });
+}
+
+#[test]
+fn full_targets_cost_a_message_and_no_second_start() {
+    let env = Env::start(&Setup { vms: 2, targets: 2, ..Setup::default() });
+    env.targets.iter().for_each(|target| target.set(|mode| mode.slots = 3));
+    smol::block_on(async {
+        let prefix = &env.keys(0).await;
+        let env = &env;
+        join_all((0..30).map(|number| async move {
+            let job = Job::new(&format!("job-{number}"), 3, 20);
+            let reply = env.caller(number % 4).submit(&format!("{prefix}.{number}"), &job).await;
+            let reply = reply.unwrap();
+            assert!(reply.is_whole(&job.ids), "{reply:?}");
+        }))
+        .await;
+        assert_eq!((env.ledger.ids(), env.ledger.total()), (90, 90));
+        let full = env.targets.iter().map(|target| target.counts().refused.load(Ordering::Relaxed));
+        assert!(full.sum::<usize>() > 0, "no target was ever full");
+    });
+}
+
+#[test]
+fn without_any_target_nothing_runs() {
+    for dead in [false, true] {
+        let env = Env::start(&Setup::default());
+        for target in &env.targets {
+            if dead {
+                target.kill();
+            } else {
+                target.set(|mode| mode.leaving = true);
+            }
+        }
+        smol::block_on(async {
+            let key = format!("{}.job", env.keys(0).await);
+            let job = Job::new("job", 3, 10).timeout(800);
+            let reply = env.caller(1).submit(&key, &job).await.unwrap();
+            // A try may be under way at the end of the job's time, or be reset by the proxy of a
+            // dead target; then nobody can say "not run".
+            assert!([502, 503, 504].contains(&reply.status), "{reply:?}");
+            assert!(["not-run", "unknown"].contains(&reply.execution()), "{reply:?}");
+            for target in &env.targets {
+                target.set(|mode| mode.leaving = false);
+                if dead {
+                    target.revive();
+                }
+            }
+            assert_eq!(env.caller(0).submit(&key, &job).await.unwrap(), reply);
+            assert_eq!(starts(&env, &job), 0);
+        });
+    }
+}
+
+#[test]
+fn the_store_is_out() {
+    let env = Env::start(&Setup::default());
+    smol::block_on(async {
+        let prefix = env.keys(0).await;
+        env.store.down(true);
+        for domain in ["a", "b"] {
+            env.store_proxy(domain).refuse(true);
+            env.store_proxy(domain).cut();
+        }
+        let job = Job::new("prefixed", 4, 20);
+        let reply = env.caller(1).submit(&format!("{prefix}.job"), &job).await.unwrap();
+        assert!(reply.is_whole(&job.ids), "{reply:?}");
+        // An earlier copy may have been claimed by another VM, and only the store knows.
+        let job = Job::new("made up", 1, 0);
+        let reply = env.caller(0).submit("made-up-key", &job).await.unwrap();
+        assert_eq!((reply.status, reply.execution()), (503, "unknown"), "{reply:?}");
+        assert_eq!(starts(&env, &job), 0);
+        env.store.down(false);
+        env.heal();
+        until("the claim", LIMIT, || async {
+            let reply = env.caller(1).submit("made-up-key", &job).await;
+            reply.is_ok_and(|reply| reply.is_whole(&job.ids))
+        })
+        .await;
+        assert_eq!(starts(&env, &job), 1);
+    });
+}
+
+#[test]
+fn a_broken_resubmission_does_not_deny_that_the_job_ran() {
+    let env = Env::start(&Setup::default());
+    smol::block_on(async {
+        let key = format!("{}.job", env.keys(0).await);
+        let job = Job::new("job", 1, 0);
+        let reply = env.caller(1).submit(&key, &job).await.unwrap();
+        assert!(reply.is_whole(&job.ids), "{reply:?}");
+        for entry in [0, 1] {
+            let mut broken = job.clone();
+            broken.body["tasks"] = json!([]);
+            let reply = env.caller(entry).submit(&key, &broken).await.unwrap();
+            assert!([400, 422].contains(&reply.status), "{reply:?}");
+            assert_ne!(reply.execution(), "not-run", "the job of this key ran: {reply:?}");
+        }
+    });
+}
