--- a/src/serve/mod.rs
+++ b/src/serve/mod.rs
@@ -2,12 +2,15 @@
 
 mod calls;
 mod core;
+mod dev;
 mod keys;
 mod meter;
 mod news;
 mod node;
 mod routes;
 mod start;
+mod stop;
 
+pub use dev::dev;
 pub use node::Node;
-pub use start::{Error, dev, run};
+pub use start::{Error, run};
--- a/src/serve/start.rs
+++ b/src/serve/start.rs
@@ -1,38 +1,32 @@
-//! The start and the planned stop of a VM.
+//! The start of a VM.
 
 use std::fmt;
 use std::io::{self, Write as _};
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::sync::Arc;
 
-use async_signal::{Signal, Signals};
-use http_types::{Request, Response, StatusCode};
 use smol::Timer;
-use smol::future::FutureExt as _;
 use smol::net::TcpListener;
-use smol::stream::StreamExt as _;
 
-use crate::clock::{Clock, Millis};
-use crate::config::{self, Document, Holder, Service, Snapshot, Target};
+use crate::clock::Millis;
+use crate::config::{self, Holder};
 use crate::event;
 use crate::http::server;
 use crate::invariant;
 use crate::job::Incarnation;
-use crate::membership::{self, Membership, Registration, closed};
+use crate::membership::{self, Membership, Registration};
 use crate::peer::{Handler, Links, Rules};
-use crate::platform::{Consul, Memory, Store, WATCH_WAIT};
+use crate::platform::{Consul, Store, WATCH_WAIT};
 use crate::runtime;
 use crate::settings::Settings;
 use crate::wire::{Hello, VERSION};
 
 use super::meter;
 use super::node::Node;
+use super::stop;
 
-/// How often a drain looks whether the last job has ended.
-const DRAIN_STEP: Millis = Millis(20);
-
-/// The time that the closing record gets even if the drain took all there was.
-const CLOSE_MIN: Millis = Millis(2000);
+/// The pause after a connection that could not be accepted.
+const ACCEPT_PAUSE: Millis = Millis(20);
 
 /// Why a VM could not run.
 #[derive(Debug)]
@@ -73,10 +67,10 @@
     runtime::start(settings.threads)?;
     smol::block_on(async {
         let store = Arc::new(Consul::new(settings.store.address, settings.store.timeout));
-        let signals = signals()?;
+        let signals = stop::signals()?;
         let node = start(settings, store, Holder::default()).await?;
         let reporter = meter::start(&node)?;
-        stop(&node, signals).await;
+        stop::run(&node, signals).await;
         if let Some(reporter) = reporter {
             reporter.close();
         }
@@ -84,28 +78,7 @@
     })
 }
 
-/// Runs a VM with `targets` built-in echo targets and no store until it is stopped.
-pub fn dev(targets: usize) -> Result<(), Error> {
-    invariant::exit_on_panic();
-    let settings = Settings::for_dev();
-    runtime::start(settings.threads)?;
-    smol::block_on(async {
-        let document = dev_document(&settings.domain, targets).await?;
-        let store = Arc::new(Memory::new(Clock::start()));
-        let holder = Holder::new(Snapshot::of_document(document));
-        let signals = signals()?;
-        let node = start(settings, store, holder).await?;
-        stop(&node, signals).await;
-        Ok(())
-    })
-}
-
-/// Takes the signals to stop. From here on they end nothing by themselves.
-fn signals() -> io::Result<Signals> {
-    Signals::new([Signal::Term, Signal::Int])
-}
-
-async fn start(
+pub(super) async fn start(
     settings: Settings,
     store: Arc<dyn Store>,
     holder: Holder,
@@ -154,7 +127,7 @@
     Ok(node)
 }
 
-async fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
+pub(super) async fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
     TcpListener::bind(address).await.map_err(|error| Error::Listen(address, error))
 }
 
@@ -199,7 +172,7 @@
 async fn serve_peers(node: Arc<Node>, listener: TcpListener) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
-            Timer::after(DRAIN_STEP.duration()).await;
+            Timer::after(ACCEPT_PAUSE.duration()).await;
             continue;
         };
         let node = Arc::clone(&node);
@@ -212,93 +185,3 @@
         .detach();
     }
 }
-
-/// Waits for the signal to stop, then for all that is in flight, and leaves a closing record.
-async fn stop(node: &Node, mut signals: Signals) {
-    signals.next().await;
-    let begun = node.now();
-    event!(info, "drain-begin", unfinished = node.unfinished());
-    node.drain();
-    let left = || (begun + node.settings.drain - node.now()).max(CLOSE_MIN);
-    within(left(), finish(node)).await;
-    event!(info, "drain-end", unfinished = node.unfinished());
-    within(left(), close(node)).await;
-}
-
-async fn finish(node: &Node) {
-    while node.unfinished() > 0 {
-        Timer::after(DRAIN_STEP.duration()).await;
-    }
-}
-
-/// Tells the other VMs, by the store, what became of all keys.
-async fn close(node: &Node) {
-    let (store, prefix) = (&*node.store, node.settings.store.prefix.as_str());
-    closed::write(store, prefix, node.incarnation, &node.closing()).await;
-    if let Err(error) = membership::leave(&node.membership, store, prefix).await {
-        event!(warn, "leave-failed", reason = error);
-    }
-}
-
-async fn within(limit: Millis, work: impl Future<Output = ()>) {
-    let late = async {
-        Timer::after(limit.duration()).await;
-    };
-    work.or(late).await;
-}
-
-/// A document with one service and echo targets in this process.
-async fn dev_document(domain: &str, targets: usize) -> Result<Document, Error> {
-    let mut document = Document::default();
-    for number in 0..targets.max(1) {
-        let listener = listen(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))).await?;
-        document.targets.push(Target {
-            id: format!("echo-{number}"),
-            domain: domain.to_owned(),
-            rack: String::new(),
-            address: listener.local_addr()?,
-            slots: 8,
-            connections: 60,
-            leaving: false,
-        });
-        let rules = server::Rules { connections_max: 60, head_timeout: Millis::from_secs(60) };
-        let echo = Arc::new(Echo { clock: Clock::start() });
-        runtime::spawn(server::serve(listener, rules, Arc::default(), echo)).detach();
-    }
-    document.services.push(Service {
-        name: "echo".to_owned(),
-        targets: Vec::new(),
-        timeout: Millis::from_secs(10),
-        run_max: Millis::from_secs(10),
-        spare_share: 0.0,
-    });
-    Ok(document)
-}
-
-/// A target that answers with what it is sent.
-#[derive(Debug)]
-struct Echo {
-    clock: Clock,
-}
-
-impl server::Handler for Echo {
-    fn answer(
-        self: Arc<Self>,
-        mut request: Request,
-    ) -> std::pin::Pin<Box<dyn Future<Output = Response> + Send>> {
-        Box::pin(async move {
-            let mut response = Response::new(StatusCode::Ok);
-            let body = request.body_string().await.unwrap_or_default();
-            if let Some(id) = request.header("Task-Id") {
-                response.insert_header("Task-Id", id.last().as_str());
-            }
-            event!(trace, "echo", at = self.clock.now());
-            response.set_body(body);
-            response
-        })
-    }
-
-    fn body_max(&self) -> u64 {
-        4 << 20
-    }
-}
