--- a/src/serve/stop.rs
+++ b/src/serve/stop.rs
@@ -30,10 +30,10 @@
     let begun = node.now();
     event!(info, "drain-begin", unfinished = node.unfinished());
     node.drain();
-    let left = || (begun + node.settings.drain - node.now()).max(CLOSE_MIN);
+    let left = || begun + node.settings.drain - node.now();
     within(left(), finish(node)).await;
     event!(info, "drain-end", unfinished = node.unfinished());
-    within(left(), close(node)).await;
+    within(left().max(CLOSE_MIN), close(node)).await;
     // Requests that came meanwhile are passed on or refused, and their answers are owed as well.
     within(left(), finish(node)).await;
 }
