--- a/benches/load.rs
+++ b/benches/load.rs
@@ -80,7 +80,7 @@
     println!("plan={plan:?} jobs={}", arrivals.len());
     println!(
         "| policy | p50 | p99 | p99.9 | complete | not-run | failed | starts | full | spare | lost | \
-         failed tasks | over | trials | probes | wasted | control/start | control/VM/s | starts per target |"
+         failed tasks | over | trials | probes | wasted | told/start | told/VM/s | control B/VM/s | starts per target |"
     );
     for policy in &plan.policies {
         let cluster = Cluster::start(&plan, policy);
@@ -247,7 +247,10 @@
         let status = self.vms.iter().flatten().filter_map(|vm| {
             vm.ended().is_none().then(|| smol::block_on(vm.caller().status()).ok()).flatten()
         });
-        let counts = status.map(|reply| reply.body["counts"].clone()).collect::<Vec<_>>();
+        let status = status.map(|reply| reply.body).collect::<Vec<_>>();
+        let counts = status.iter().map(|body| body["counts"].clone()).collect::<Vec<_>>();
+        let bytes = status.iter().filter_map(|body| body["links"]["control_bytes"].as_u64());
+        let bytes = bytes.sum::<u64>() as f64;
         let sum = |name: &str| {
             counts.iter().map(|counts: &Value| counts[name].as_u64().unwrap_or(0)).sum::<u64>()
         };
@@ -267,7 +270,7 @@
         let quantile = |at: f64| tally.ratio.value_at_quantile(at) as f64 / 1000.0;
         format!(
             "| {policy} | {:.2} | {:.2} | {:.2} | {}/{} | {} | {} | {starts} | {:.3}% | {:.2}% | {} | {} \
-             | {} | {} | {:.2}% | {:.2}% | {:.2} | {:.1} | {slowest:.2}% to {fastest:.2}% |",
+             | {} | {} | {:.2}% | {:.2}% | {:.2} | {:.1} | {:.0} | {slowest:.2}% to {fastest:.2}% |",
             quantile(0.5),
             quantile(0.99),
             quantile(0.999),
@@ -285,6 +288,7 @@
             percent(wasted),
             told / starts as f64,
             told / counts.len() as f64 / plan.seconds as f64,
+            bytes / counts.len() as f64 / plan.seconds as f64,
         ) + &format!(" last failure at {:.1} s", tally.last_failed.as_secs_f64())
     }
 }
