Refuse by the longest task and the mean work, and count useless attempts

The estimate took the median of the run times for the whole job; the longest of eight tasks lasts several times that, and the sum of many is raised by the long ones.

Change: admission and the last look before a job's first start go by the mean for the work and by the expected longest task for the end. Counts.useless counts attempts at tasks of jobs that got no answer, so the goal of 2% is measured as it is stated, in attempts. Nothing is refused by the queue while most own targets are gone and another domain is in reach.

--- a/src/dispatch/engine.rs
+++ b/src/dispatch/engine.rs
@@ -7,7 +7,7 @@
 
 use crate::clock::Millis;
 use crate::config::{Document, SlotMode};
-use crate::job::{self, Incarnation, Job};
+use crate::job::{self, Incarnation, Job, Outcome};
 
 use super::budget::Budget;
 use super::event::{Action, Counts, Event, Member, Place, StartId};
@@ -232,7 +232,7 @@
             Source::Adopted(adopted) => (self.guests.service(adopted)?, 0),
         };
         let service = &self.services.list[service];
-        let size = super::estimate::time(service.size.expected(declared));
+        let size = super::estimate::time(service.size.mean(declared));
         let share = self.services.share(team);
         let order = self.document.limits.queue.order;
         Some((service.pool, Entry { source, team, share, size, order }))
@@ -251,6 +251,9 @@
         let Some(outcome) = flight.job.outcome() else { return };
         if !had_ended {
             actions.push(Action::End { job: id, outcome: outcome.clone() });
+            if matches!(outcome, Outcome::Failed(_)) {
+                self.counts.useless += flight.job.attempts();
+            }
             self.timers.remove(flight.job.deadline(), Timer::Deadline(id));
             let pool = self.services.list[flight.service].pool;
             self.queues[pool].remove(Source::Job(id));
--- a/src/dispatch/estimate.rs
+++ b/src/dispatch/estimate.rs
@@ -10,6 +10,8 @@
 const DECLARED_SAMPLES: u32 = 200;
 /// The share of the plain mean's variance that declared times must stay below to be believed.
 const DECLARED_VARIANCE_MAX: f64 = 0.5;
+/// Fits the mean of the largest of some normal samples to the root of twice the logarithm of their number.
+const LONGEST_FACTOR: f64 = 0.7;
 /// What a task is taken to last before anything was measured or declared.
 const UNKNOWN: Millis = Millis(100);
 
@@ -58,10 +60,20 @@
         }
     }
 
+    /// The same for the mean over many such tasks, which the long ones raise.
+    pub fn mean(&self, declared: Option<Millis>) -> f64 {
+        self.expected(declared) + self.variance() / 2.0
+    }
+
+    /// The same for the longest of `count` such tasks.
+    pub fn longest(&self, declared: Option<Millis>, count: usize) -> f64 {
+        let deviations = LONGEST_FACTOR * (2.0 * (count.max(1) as f64).ln()).sqrt();
+        self.expected(declared) + deviations * self.variance().sqrt()
+    }
+
     /// A time that few tasks exceed, two deviations above what is expected.
     pub fn unlikely(&self, declared: Option<Millis>) -> f64 {
-        let track = if self.believes_declared() { self.declared } else { self.plain };
-        self.expected(declared) + 2.0 * track.variance.sqrt().max(0.2)
+        self.expected(declared) + 2.0 * self.variance().sqrt().max(0.2)
     }
 
     /// Moves the mean by `offset`, when the targets' speeds are centred anew.
@@ -75,6 +87,10 @@
         self.plain.samples >= KNOWN_SAMPLES
     }
 
+    fn variance(&self) -> f64 {
+        if self.believes_declared() { self.declared.variance } else { self.plain.variance }
+    }
+
     fn believes_declared(&self) -> bool {
         let most = self.plain.variance * DECLARED_VARIANCE_MAX;
         self.declared.samples >= DECLARED_SAMPLES && self.declared.variance < most
--- a/src/dispatch/event.rs
+++ b/src/dispatch/event.rs
@@ -309,6 +309,8 @@
     pub spare: u64,
     /// Trial starts on ejected targets so far.
     pub trials: u64,
+    /// Attempts so far at tasks of jobs that got no answer.
+    pub useless: u64,
     /// Targets that are ejected now.
     pub ejected: u64,
     /// Tasks handed to VMs of other domains so far.
--- a/src/dispatch/pool.rs
+++ b/src/dispatch/pool.rs
@@ -31,6 +31,8 @@
     pub hash: u32,
     /// Its targets in the own domain.
     pub members: usize,
+    /// Those of them that this VM may use and that are not ejected.
+    sound: usize,
     free: [Vec<usize>; CLASSES],
     /// Bit N is set when class N has a free target.
     some: u32,
@@ -63,6 +65,7 @@
     /// Changes the slots that this VM may use in a class.
     pub fn change_usable(&mut self, class: usize, from: u32, to: u32) {
         self.usable[class] = self.usable[class] - from + to;
+        self.sound = self.sound + usize::from(to > 0) - usize::from(from > 0);
     }
 
     /// Tasks of mean size that the pool ends in the time of one, on the slots that this VM may use.
@@ -71,6 +74,11 @@
         usable.map(|(class, &slots)| f64::from(slots) / slowness_of(class)).sum()
     }
 
+    /// Whether most of its targets are gone for now.
+    pub const fn is_broken(&self) -> bool {
+        self.sound * 2 < self.members
+    }
+
     /// The fastest class of which this VM may use a slot, free or not.
     pub fn best(&self) -> usize {
         self.usable.iter().position(|&slots| slots > 0).unwrap_or(SUSPECT)
--- a/src/dispatch/run.rs
+++ b/src/dispatch/run.rs
@@ -112,12 +112,16 @@
             return false;
         }
         let spec = flight.job.spec();
-        let size = service.size.expected(spec.tasks[index].expected).exp();
-        let class = self.fleet.targets[target].speed_class();
-        let mut expected = size * slowness_of(class).min(1.0);
+        let (declared, count) = (spec.tasks[index].expected, spec.tasks.len());
+        let slowness = slowness_of(self.fleet.targets[target].speed_class());
+        let mut expected = service.size.expected(declared).exp() * slowness.min(1.0);
         if index == 0 && flight.job.tries(0) == 0 {
-            let capacity = self.fleet.pools[service.pool].capacity().max(1.0);
-            expected = size * slowness_of(class) + size * spec.tasks.len() as f64 / capacity;
+            expected = service.size.longest(declared, count).exp() * slowness;
+            // With VMs of other domains in reach, what is here does not say when the rest will start.
+            if self.others.is_empty() {
+                let capacity = self.fleet.pools[service.pool].capacity().max(1.0);
+                expected += service.size.mean(declared).exp() * count as f64 / capacity;
+            }
         }
         let left = flight.job.deadline() - now;
         let hopeless = expected > left.0 as f64;
--- a/src/dispatch/submit.rs
+++ b/src/dispatch/submit.rs
@@ -50,7 +50,8 @@
             return Err(refuse("too many tasks wait", retry));
         }
         let allowed = timeout.0 as f64 * TIMEOUT_USED_MAX;
-        if here && !queue.is_empty() && expected.0 as f64 > allowed {
+        let goes_over = elsewhere && self.fleet.pools[service.pool].is_broken();
+        if here && !goes_over && !queue.is_empty() && expected.0 as f64 > allowed {
             return Err(refuse("the queue is longer than the job's time", expected));
         }
         Ok((number, timeout))
@@ -66,10 +67,10 @@
             return Millis::ZERO;
         }
         let declared = spec.tasks.first().and_then(|task| task.expected);
-        let size = service.size.expected(declared).exp();
-        let own = size * spec.tasks.len() as f64;
+        let own = service.size.mean(declared).exp() * spec.tasks.len() as f64;
+        let longest = service.size.longest(declared, spec.tasks.len()).exp();
         let ahead = (own * queue.sources() as f64).min(queue.work().0 as f64);
-        Millis(((ahead + own) / capacity + size) as u64)
+        Millis(((ahead + own) / capacity + longest) as u64)
     }
 
     fn admit(&mut self, id: job::Id, spec: Arc<Spec>, service: usize, deadline: Millis) {
--- a/src/job/aggregate.rs
+++ b/src/job/aggregate.rs
@@ -88,6 +88,11 @@
         self.tasks[index].tries
     }
 
+    /// How many attempts of all tasks were made.
+    pub fn attempts(&self) -> u64 {
+        self.tasks.iter().map(|task| u64::from(task.tries)).sum()
+    }
+
     /// How many attempts of the task at `index` have no end yet.
     pub fn open(&self, index: usize) -> u32 {
         self.tasks[index].open
