Count what kept answers take besides their text, and keep 600,000 keys

Cause: answers were bounded by their text alone, and an answer of 30 bytes takes about 300 more, so the bound of 64 MiB was never near and keys cost 0.57 KiB each.

--- a/benches/capacity.rs
+++ b/benches/capacity.rs
@@ -225,7 +225,7 @@
     let prefix = smol::block_on(env.caller(0).keys()).unwrap();
     let mut held = 0;
     println!("keys=0 resident_mib={:.1}", env.vm(0).resident_bytes() as f64 / f64::from(1 << 20));
-    for count in [10_000, 20_000, 40_000] {
+    for count in [10_000, 40_000, 100_000, 300_000] {
         let executor = Executor::new();
         smol::block_on(executor.run(async {
             let callers = (0..32).map(|caller| {
--- a/src/config/document.rs
+++ b/src/config/document.rs
@@ -278,13 +278,13 @@
     pub kept: u64,
     /// The most keys that a VM keeps.
     pub keys_max: usize,
-    /// The most bytes of answers that a VM keeps.
+    /// The most bytes that the answers which a VM keeps may take.
     #[serde_as(as = "Size")]
     pub answers_max: u64,
 }
 
 impl Default for WindowLimits {
     fn default() -> Self {
-        Self { length: Millis::from_secs(30), kept: 10, keys_max: 200_000, answers_max: 64 << 20 }
+        Self { length: Millis::from_secs(30), kept: 10, keys_max: 600_000, answers_max: 64 << 20 }
     }
 }
--- a/src/job/outcome.rs
+++ b/src/job/outcome.rs
@@ -109,6 +109,12 @@
     }
 }
 
+/// What keeping an outcome takes besides its text, in bytes.
+const KEPT_BYTES: usize = 256;
+
+/// What keeping one answer takes besides its text, in bytes.
+const KEPT_ANSWER_BYTES: usize = 48;
+
 /// The end of a job.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Outcome {
@@ -126,4 +132,13 @@
             Self::Failed(failure) => failure.detail.len(),
         }
     }
+
+    /// About what keeping the outcome takes, in bytes.
+    pub fn kept_bytes(&self) -> usize {
+        let answers = match self {
+            Self::Complete(answers) => answers.len(),
+            Self::Failed(_) => 0,
+        };
+        self.bytes() + answers * KEPT_ANSWER_BYTES + KEPT_BYTES
+    }
 }
--- a/src/job/table.rs
+++ b/src/job/table.rs
@@ -20,7 +20,7 @@
     pub kept: u64,
     /// The most keys in all windows together.
     pub keys_max: usize,
-    /// The most bytes of answers kept for resubmissions.
+    /// The most bytes that the answers kept for resubmissions may take.
     pub answer_bytes_max: usize,
 }
 
@@ -235,7 +235,7 @@
             invariant!(false, "a job ended twice");
             return;
         };
-        self.answer_bytes += outcome.bytes();
+        self.answer_bytes += outcome.kept_bytes();
         *entry = Entry::Ended { outcome, fingerprint };
         self.answered.push_back((window, own.into()));
         self.make_room(rules.answer_bytes_max);
@@ -275,7 +275,7 @@
             let entry = self.windows.get_mut(&window).and_then(|room| room.entries.get_mut(&own));
             let Some(entry) = entry else { continue };
             let Entry::Ended { outcome, fingerprint } = entry else { continue };
-            self.answer_bytes -= outcome.bytes();
+            self.answer_bytes -= outcome.kept_bytes();
             *entry = Entry::Forgotten { mark: mark_of(outcome), fingerprint: *fingerprint };
         }
     }
@@ -284,7 +284,7 @@
         self.keys -= window.entries.len();
         for entry in window.entries.values() {
             if let Entry::Ended { outcome, .. } = entry {
-                self.answer_bytes -= outcome.bytes();
+                self.answer_bytes -= outcome.kept_bytes();
             }
         }
         let windows = &self.windows;
