Check frames over arbitrary bytes

Mutated and arbitrary bytes are a frame that reads back the same, or an error that names its remedy; bytes after a frame are an error. Announced lengths that no bytes follow are among the mutations.

--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -1,5 +1,5 @@
 //! Properties of the pure parts over arbitrary inputs: the job aggregate, the table of keys, and
-//! requests as bytes.
+//! requests and frames as bytes.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -7,10 +7,12 @@
 use arbtest::arbitrary::{Result, Unstructured};
 use arbtest::arbtest;
 use gypsumkeel::clock::Millis;
+use gypsumkeel::dispatch::{Adoption, Report};
 use gypsumkeel::job::{
     Admission, Execution, Failure, Fingerprint, Job, Key, Outcome, Reason, Spec, State, Table,
     Task, Windows,
 };
+use gypsumkeel::wire::{Call, Error, Frame, Hello, Reply, VERSION};
 
 /// The cases of each property; the same ones on every run.
 const CASES: u64 = 3000;
@@ -253,3 +255,73 @@
         Ok(())
     });
 }
+
+/// One frame of each kind that carries something.
+fn sample_frames() -> Vec<Frame> {
+    let key = "AAAAAAAAAAAAAAAAAAAAAQ.17.order/9".parse::<Key>().unwrap();
+    let (incarnation, own) = (key.prefix.incarnation, key.clone());
+    let hello = Hello {
+        version: VERSION,
+        vm: "lantern-a-1".into(),
+        incarnation,
+        domain: "a".into(),
+        peers: "127.0.0.1:7200".parse().unwrap(),
+    };
+    let adoption = Adoption {
+        name: "x.1".into(),
+        service: "holds".into(),
+        payload: r#"{"id":1}"#.into(),
+        expected: Some(Millis(80)),
+        repeatable: true,
+        remaining: Millis(900),
+    };
+    let failure =
+        Failure::new(Reason::Limited, Execution::NotRun, "full; wait").retry_after(Millis(5));
+    let outcomes = [Outcome::Complete(vec!["1".into(), "{}".into()]), Outcome::Failed(failure)];
+    let replies = outcomes.into_iter().map(Reply::Outcome);
+    let replies = replies.chain([Reply::Report(Report::Lost("gone; ask".into()))]);
+    let calls = [
+        Call::Submit { key, spec: Spec::clone(&spec(3, true)) },
+        Call::Cancel { key: own },
+        Call::Run { start: 7, adoption },
+        Call::Fate { start: 7 },
+    ];
+    let calls = calls.into_iter().map(|call| Frame::Call { id: 3, call });
+    let replies = replies.map(|reply| Frame::Reply { id: 3, reply });
+    calls.chain(replies).chain([Frame::Hello(hello), Frame::Beat]).collect()
+}
+
+#[test]
+fn any_bytes_are_a_frame_or_an_error() {
+    let frames = sample_frames();
+    for frame in &frames {
+        let mut bytes = frame.encode().unwrap();
+        assert_eq!(Frame::decode(&bytes).as_ref(), Ok(frame));
+        bytes.push(0);
+        assert!(matches!(Frame::decode(&bytes), Err(Error::Decode(_))), "bytes after {frame:?}");
+    }
+    check_all(|u| {
+        let mut bytes = u.choose(&frames)?.encode().unwrap();
+        for _ in 0..u.int_in_range(1..=4)? {
+            let at = u.choose_index(bytes.len())?;
+            match u.int_in_range(0..=3)? {
+                0 => bytes[at] = u.arbitrary()?,
+                1 => bytes.truncate(at.max(1)),
+                2 => bytes.insert(at, u.arbitrary()?),
+                // A length of many gigabytes that no bytes follow.
+                _ => bytes
+                    .splice(at..=at, [0x9b, 0, 0, 0, 0x7f, 0xff, 0xff, 0xff, 0xff])
+                    .for_each(drop),
+            }
+        }
+        match Frame::decode(&bytes) {
+            Ok(frame) => assert_eq!(Frame::decode(&frame.encode().unwrap()), Ok(frame)),
+            Err(error) => assert!(error.to_string().contains(';'), "no remedy in {error}"),
+        }
+        let raw = u.bytes(u.len())?;
+        if let Ok(frame) = Frame::decode(raw) {
+            assert_eq!(Frame::decode(&frame.encode().unwrap()), Ok(frame));
+        }
+        Ok(())
+    });
+}
