Prove that a cut between domains settles the tasks on their way

The own targets are leaving, so tasks go to the other domain's VM; then the links are reset, or go silent, for 1.5 s with 30 tasks under way. Nothing starts twice, a 'not-run' has no start, and a resubmission gets the same end.

--- a/tests/guarantees_refusals.rs
+++ b/tests/guarantees_refusals.rs
@@ -3,13 +3,14 @@
 mod testenv;
 
 use std::collections::HashSet;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use futures_util::future::join_all;
 use serde_json::json;
 
-use testenv::{Env, Job, Reply, Setup, until};
+use smol::future::zip;
+use testenv::{Env, Job, Reply, Setup, Shut, until};
 
 const LIMIT: Duration = Duration::from_secs(20);
 
@@ -150,3 +151,54 @@
         }
     });
 }
+
+/// The own targets of domain a are leaving, so its tasks go to b; then the two lose each other.
+#[test]
+fn a_cut_while_a_task_is_on_its_way_to_another_domain() {
+    let services = json!([{ "name": "holds", "timeout": "8s", "run_max": "5s" }]);
+    let env = Env::start(&Setup { services, ..Setup::default() });
+    env.targets[..2].iter().for_each(|target| env.store.leave(&target.name, true));
+    smol::block_on(async {
+        // From here on VM 0 has its link to VM 1.
+        env.keys(1).await;
+        let prefix = env.keys(0).await;
+        let round = AtomicUsize::new(0);
+        until("tasks go to the other domain", LIMIT, || async {
+            let number = round.fetch_add(1, Ordering::Relaxed);
+            let job = Job::new(&format!("warm-{number}"), 4, 1);
+            let reply = env.caller(0).submit(&format!("{prefix}.warm-{number}"), &job).await;
+            let reply = reply.unwrap();
+            assert!(reply.is_whole(&job.ids), "{reply:?}");
+            job.ids.iter().all(|id| env.ledger.targets(id)[0].starts_with("t-b-"))
+        })
+        .await;
+        for (number, shut) in [Shut::Reset, Shut::Silent].into_iter().enumerate() {
+            let job = Job::new(&format!("job-{number}"), 30, 200);
+            let key = format!("{prefix}.{number}");
+            let submit = env.caller(0).submit(&key, &job);
+            let cut = async {
+                until("a start", LIMIT, || async { starts(&env, &job) > 8 }).await;
+                for proxy in &env.peer_proxies {
+                    proxy.shut_out(shut, |first| first.contains("lantern-"));
+                }
+                smol::Timer::after(Duration::from_millis(1500)).await;
+                env.peer_proxies.iter().for_each(testenv::Proxy::heal);
+            };
+            let (reply, ()) = zip(submit, cut).await;
+            let reply = reply.unwrap();
+            let count = starts(&env, &job);
+            if reply.execution() == "not-run" {
+                assert_eq!(count, 0, "{reply:?}");
+            } else if reply.status == 200 {
+                assert!(reply.is_whole(&job.ids), "{reply:?}");
+            }
+            until("the links are back", LIMIT, || async {
+                env.caller(1).look(&key).await.is_ok_and(|reply| reply.status != 503)
+            })
+            .await;
+            let again = env.caller(1).submit(&key, &job).await.unwrap();
+            assert_eq!((again.status, again.execution()), (reply.status, reply.execution()));
+            assert_eq!(env.ledger.repeated(&HashSet::new()), []);
+        }
+    });
+}
