--- a/src/client/submit.rs
+++ b/src/client/submit.rs
@@ -246,22 +246,17 @@
     }
 
     fn give_up(&self) -> End {
-        let code = if self.in_doubt { Exit::Unknown } else { Exit::Refused };
         let why = format!("no answer within {}; last: {}", self.words.timeout, self.last);
-        End::Stopped(code, self.with_key(code, why))
-    }
-
-    fn stop(&self, code: Exit) -> Next {
-        Next::End(End::Stopped(code, self.with_key(code, self.last.clone())))
-    }
-
-    /// Adds what to do about an outcome that is not known.
-    fn with_key(&self, code: Exit, why: String) -> String {
         match &self.key {
-            Some(key) if code == Exit::Unknown => {
-                format!("{why}; submit the same file with --key {key} to ask again")
+            Some(key) if self.in_doubt => {
+                let remedy = format!("submit the same file with --key {key} to ask again");
+                End::Stopped(Exit::Unknown, format!("{why}; {remedy}"))
             }
-            _ => why,
+            _ => End::Stopped(Exit::Refused, why),
         }
     }
+
+    fn stop(&self, code: Exit) -> Next {
+        Next::End(End::Stopped(code, self.last.clone()))
+    }
 }
