Leave time for another entry VM when one has gone silent

submit waited for a silent entry VM until its whole time was over, though another could have joined the job under the same key. With several entries one attempt now takes at most half of the time that is left. Lines beside the output no longer panic when standard error is closed.

--- a/src/client/submit.rs
+++ b/src/client/submit.rs
@@ -30,6 +30,9 @@
 /// How much longer than the job's own timeout one attempt waits for the answer.
 const ANSWER_GRACE: Millis = Millis::from_secs(1);
 
+/// How long to wait for a key prefix.
+const KEY_TIMEOUT: Millis = Millis::from_secs(1);
+
 /// Why a file is not a job.
 #[derive(Debug)]
 pub struct JobError(serde_json::Error);
@@ -156,13 +159,12 @@
             },
         };
         self.key = Some(key.clone());
-        let own_limit = self.job.timeout.map_or(Millis(u64::MAX), |timeout| timeout + ANSWER_GRACE);
         let question = Question {
             method: Method::Post,
             path: "/v1/jobs",
             headers: &[("Idempotency-Key", &key), ("Content-Type", "application/json")],
             body: &self.job.body,
-            timeout: self.left().min(own_limit),
+            timeout: self.answer_limit(),
         };
         match ask(entry, &question).await {
             Reply::Ok(answer) => Next::End(End::Complete(answer)),
@@ -215,7 +217,7 @@
             path: "/v1/keys",
             headers: &[],
             body: &[],
-            timeout: self.left().min(ANSWER_GRACE),
+            timeout: self.left().min(KEY_TIMEOUT),
         };
         let body = match ask(entry, &question).await {
             Reply::Ok(body) => body,
@@ -241,6 +243,14 @@
         Timer::after(wait.min(self.left()).duration()).await;
     }
 
+    /// How long one attempt waits for the answer. An entry VM that has gone silent must leave time for
+    /// another one; the job is joined there.
+    fn answer_limit(&self) -> Millis {
+        let own_limit = self.job.timeout.map_or(Millis(u64::MAX), |timeout| timeout + ANSWER_GRACE);
+        let share = if self.words.entries.len() > 1 { 2 } else { 1 };
+        own_limit.min(Millis(self.left().0.div_ceil(share)))
+    }
+
     fn left(&self) -> Millis {
         self.words.timeout - self.clock.now()
     }
--- a/src/configure.rs
+++ b/src/configure.rs
@@ -43,9 +43,9 @@
         let remedy = "apply it with --base 0, or get without --section to see what is there";
         return Exit::Failed.because(format_args!("there is no section {name}; {remedy}"));
     }
-    eprintln!("version={version}");
+    exit::note(format_args!("version={version}"));
     for section in &sections {
-        eprintln!("{}", summary(section));
+        exit::note(summary(section));
     }
     let texts = sections.iter().map(|section| match only {
         Some(_) => section.text.to_string(),
--- a/src/exit.rs
+++ b/src/exit.rs
@@ -42,7 +42,12 @@
 
 /// Writes `error` to standard error. If that is closed, only the exit code is left to tell.
 pub fn complain(error: impl fmt::Display) {
-    drop(writeln!(io::stderr(), "[gypsumkeel error]: {error}"));
+    note(format_args!("[gypsumkeel error]: {error}"));
+}
+
+/// Writes a line beside the output to standard error, if that is open.
+pub fn note(line: impl fmt::Display) {
+    drop(writeln!(io::stderr(), "{line}"));
 }
 
 /// Writes `text` to standard output. A reader that hangs up early is no failure.
--- a/tests/submit.rs
+++ b/tests/submit.rs
@@ -21,6 +21,8 @@
     Complete,
     /// Closes the connection without an answer.
     Cut,
+    /// Keeps the connection and says nothing.
+    Silent,
     /// Answers like a proxy that knows nothing.
     Gibberish,
 }
@@ -34,6 +36,7 @@
     let kept = Arc::clone(&seen);
     thread::spawn(move || {
         let mut prefixes = 0;
+        let mut held = Vec::new();
         for stream in listener.incoming() {
             let mut stream = stream.expect("a connection is accepted");
             let request = read(&mut stream);
@@ -57,6 +60,7 @@
                 }
                 Act::Complete => reply(&mut stream, 200, r#"{"state":"complete"}"#),
                 Act::Cut => drop(stream),
+                Act::Silent => held.push(stream),
                 Act::Gibberish => reply(&mut stream, 502, "<html>"),
             }
         }
@@ -169,6 +173,17 @@
     }
 }
 
+#[test]
+fn a_silent_entry_leaves_time_for_another() {
+    let (silent, first) = entry(&[Act::Silent]);
+    let (sound, second) = entry(&[Act::Complete]);
+    let (code, said) = submit(&[silent, sound], &["--timeout", "2s"]);
+    assert_eq!(code, 0, "{said}");
+    let (first, second) = (first.lock(), second.lock());
+    let [first, second] = [first, second].map(|seen| seen.expect("no thread panicked"));
+    assert_eq!(key(&first[0]), key(&second[0]));
+}
+
 #[test]
 fn a_key_of_the_user_is_never_replaced() {
     use Act::{Complete, Cut, Hint, Say};
