--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -2,10 +2,11 @@
 
 mod testenv;
 
-use std::io::Write as _;
+use std::io::{BufRead as _, BufReader, Write as _};
 use std::process::{Command, Stdio};
 
 use insta::assert_snapshot;
+use rustix::process::{Pid, Signal, kill_process};
 use testenv::store::Store;
 
 /// Command lines that are refused.
@@ -234,6 +235,33 @@
     }
 }
 
+#[test]
+fn dev_serves_the_example_of_the_readme() {
+    let mut dev = Command::new(env!("CARGO_BIN_EXE_gypsumkeel"))
+        .args(["dev", "--targets", "2"])
+        .stdout(Stdio::piped())
+        .stderr(Stdio::null())
+        .spawn()
+        .expect("the program starts");
+    let mut line = String::new();
+    let mut output = BufReader::new(dev.stdout.take().expect("standard output is piped"));
+    output.read_line(&mut line).expect("the program writes");
+    let entry = line.split(' ').find_map(|word| word.strip_prefix("callers="));
+    let entry = entry.expect("the line names the callers' address");
+    let job =
+        r#"{"service":"echo","tasks":[{"payload":{"lanterns":40}},{"payload":"route slip"}]}"#;
+    let said = run_with(&format!("submit --entry http://{entry} -"), job);
+    assert!(said.starts_with("0\n{\"key\":"), "{said}");
+    let answers = r#","state":"complete","answers":[{"lanterns":40},"route slip"]}"#;
+    assert!(said.trim_end().ends_with(answers), "{said}");
+    let status = run(&format!("status --entry {entry}"));
+    assert!(status.contains(" id=echo-1 ") && status.contains(" first_starts=2 "), "{status}");
+    let status = run(&format!("status --entry {entry} --json"));
+    assert!(status.contains(r#""first_starts":2"#), "{status}");
+    kill_process(Pid::from_child(&dev), Signal::TERM).expect("the program runs");
+    assert!(dev.wait().expect("the program ends").success());
+}
+
 /// Replaces what differs from run to run: times and the ids of changes.
 fn steady(text: &str) -> String {
     let word = |word: &str| match word.split_once('=') {
