Let the store clear closing records away, and date claims

One that is gone early is told as unknown. Single reads ask Consul for the latest state: what callers are told of a key rests on them.

--- a/src/clock.rs
+++ b/src/clock.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 use std::ops::{Add, Mul, Sub};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use serde::{Deserialize, Serialize};
 
@@ -22,6 +22,11 @@
         Self(seconds.saturating_mul(1000))
     }
 
+    /// The present time since the Unix epoch, for records that people read. No decision rests on it.
+    pub fn since_epoch() -> Self {
+        SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().into()
+    }
+
     /// The span as the standard library's type.
     pub const fn duration(self) -> Duration {
         Duration::from_millis(self.0)
--- a/src/config/operator.rs
+++ b/src/config/operator.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeMap;
 use std::fmt;
 use std::sync::Arc;
-use std::time::{SystemTime, UNIX_EPOCH};
 
 use smol::Timer;
 
@@ -336,7 +335,7 @@
             section_version: base + 1,
             hash: text.map(Hash::of),
             who: who.to_owned(),
-            at: now(),
+            at: Millis::since_epoch(),
             why: why.to_owned(),
         }
     }
@@ -411,7 +410,3 @@
     getrandom::fill(&mut bytes).expect("the system's random source must be readable");
     format!("{:032x}", u128::from_be_bytes(bytes))
 }
-
-fn now() -> Millis {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().into()
-}
--- a/src/membership/claim.rs
+++ b/src/membership/claim.rs
@@ -43,6 +43,9 @@
 #[derive(Clone, Debug, Deserialize, Serialize)]
 struct Claim {
     prefix: Prefix,
+    /// When it was made, since the Unix epoch, so that operators can tell old ones.
+    #[serde(rename = "at_unix_ms", default)]
+    at: Millis,
 }
 
 /// The prefix under which the job of a caller-made key may be started: `own`, or that of an earlier claim.
@@ -55,7 +58,8 @@
     own: Prefix,
 ) -> Result<Prefix, Error> {
     let key = format!("{prefix}/claims/{}", hash(caller_key));
-    let value = serde_json::to_vec(&Claim { prefix: own }).expect("a claim has string keys only");
+    let claim = Claim { prefix: own, at: Millis::since_epoch() };
+    let value = serde_json::to_vec(&claim).expect("a claim has string keys only");
     let mut last = platform::Error::Lost("no answer".to_owned());
     for _ in 0..ATTEMPTS_MAX {
         match store.put(&key, value.clone(), Condition::Absent).await {
--- a/src/membership/closed.rs
+++ b/src/membership/closed.rs
@@ -10,7 +10,7 @@
 use crate::clock::Millis;
 use crate::event;
 use crate::job::{Closing, Incarnation, Key, Mark};
-use crate::platform::{Condition, Error, Store};
+use crate::platform::{Error, Store};
 
 /// How many keys a chunk holds.
 const CHUNK_KEYS: usize = 24_000;
@@ -18,6 +18,9 @@
 /// The bytes of one key in a chunk: window, hash and mark.
 const RECORD_BYTES: usize = 17;
 
+/// How long a record is kept. Without one a resubmission is told that its outcome is unknown.
+const KEPT: Millis = Millis::from_secs(2 * 60 * 60);
+
 /// The pause after a write that failed, before jitter of as much again.
 const PAUSE: Millis = Millis(200);
 
@@ -59,34 +62,52 @@
 }
 
 /// Writes the record, again and again until all of it is there. The caller bounds the time.
+///
+/// It hangs on a session of its own that nobody renews, so that the store clears it away by itself.
 pub async fn write(store: &dyn Store, prefix: &str, incarnation: Incarnation, closing: &Closing) {
     let base = format!("{prefix}/closed/{incarnation}");
     let records = closing.keys.iter().map(|(window, own, mark)| (Place::of(*window, own), *mark));
     let mut records = records.collect::<Vec<_>>();
     records.sort_unstable_by_key(|(place, _)| *place);
+    let mut session = None;
     let mut chunks = Vec::new();
     for (number, chunk) in records.chunks(CHUNK_KEYS).enumerate() {
         chunks.push(chunk[0].0);
-        write_one(store, &chunk_key(&base, number), encode(chunk)).await;
+        write_one(store, &mut session, &chunk_key(&base, number), encode(chunk)).await;
     }
     let head = Head { oldest: closing.oldest, chunks };
     let head = serde_json::to_vec(&head).expect("a closing record has string keys only");
-    write_one(store, &base, head).await;
+    write_one(store, &mut session, &base, head).await;
     event!(info, "closing-record-written", keys = closing.keys.len());
 }
 
-async fn write_one(store: &dyn Store, key: &str, value: Vec<u8>) {
-    let mut failing = false;
-    while let Err(error) = store.put(key, value.clone(), Condition::Always).await {
-        if !failing {
-            event!(warn, "closing-record-failed", key = key, reason = error);
-        }
-        failing = true;
+async fn write_one(store: &dyn Store, session: &mut Option<String>, key: &str, value: Vec<u8>) {
+    while let Err(error) = try_one(store, session, key, value.clone()).await {
+        event!(warn, "closing-record-failed", key = key, reason = error);
         let jitter = Millis(fastrand::u64(0..=PAUSE.0));
         Timer::after((PAUSE + jitter).duration()).await;
     }
 }
 
+/// A key that another session holds was written by an earlier try, with the same value.
+async fn try_one(
+    store: &dyn Store,
+    session: &mut Option<String>,
+    key: &str,
+    value: Vec<u8>,
+) -> Result<(), Error> {
+    let id = match session.take() {
+        Some(id) => id,
+        None => store.open_session(KEPT).await?,
+    };
+    let written = store.acquire(key, value, &id).await;
+    // A store that has lost the session refuses it for good; any other error may pass.
+    if !matches!(written, Err(Error::Refused { status: 500, .. })) {
+        *session = Some(id);
+    }
+    written.map(drop)
+}
+
 /// Reads what the closing record of the process that `key` names says of it.
 pub async fn look(store: &dyn Store, prefix: &str, key: &Key) -> Result<Fate, Error> {
     let base = format!("{prefix}/closed/{}", key.prefix.incarnation);
--- a/src/platform/consul.rs
+++ b/src/platform/consul.rs
@@ -199,7 +199,12 @@
 
 impl Store for Consul {
     fn get<'a>(&'a self, key: &'a str) -> Call<'a, Option<Entry>> {
-        Box::pin(async move { Ok(self.watch(key, 0, Millis::ZERO).await?.value) })
+        // What is said to callers and written next rests on single reads, so they ask for the latest state.
+        Box::pin(async move {
+            let path = format!("/v1/kv/{key}?consistent");
+            let pairs = self.watch_path::<Pair>(&path, '&', 0, Millis::ZERO).await?.value;
+            pairs.into_iter().next().map(Entry::try_from).transpose()
+        })
     }
 
     fn watch<'a>(
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -224,6 +224,9 @@
     assert_eq!(look(&key(4, "k0")), Fate::Never);
     assert_eq!(look(&key(99, "k0")), Fate::Never);
     assert_eq!(look(&key(2, "k0")), Fate::Dropped);
-    assert_eq!(store.memory().peek_keys(&format!("{PREFIX}/closed/")).len(), 4);
+    let kept = || store.memory().peek_keys(&format!("{PREFIX}/closed/")).len();
+    assert_eq!(kept(), 4);
+    store.memory().lapse_sessions();
+    assert_eq!((kept(), look(&key(3, "k0"))), (0, Fate::Open));
     store.close();
 }
