--- a/src/metrics/names.rs
+++ b/src/metrics/names.rs
@@ -52,6 +52,8 @@
         TasksFailed = "tasks.failed",
         /// Attempts whose outcome was lost.
         TasksLost = "tasks.lost",
+        /// Attempts at tasks of jobs that got no answer.
+        TasksUseless = "tasks.useless",
         /// Trial starts on ejected targets.
         TargetsTried = "targets.tried",
         /// Messages about slots to other VMs.
--- a/src/serve/meter.rs
+++ b/src/serve/meter.rs
@@ -45,6 +45,7 @@
         (Counter::TasksUnsent, tasks.unsent),
         (Counter::TasksFailed, tasks.failed),
         (Counter::TasksLost, tasks.lost),
+        (Counter::TasksUseless, tasks.useless),
         (Counter::TargetsTried, tasks.trials),
         (Counter::SlotMessages, tasks.told),
         (Counter::PeerControlFrames, volume.control_frames),
