--- a/src/membership/closed.rs
+++ b/src/membership/closed.rs
@@ -82,8 +82,12 @@
 }
 
 async fn write_one(store: &dyn Store, session: &mut Option<String>, key: &str, value: Vec<u8>) {
+    let mut failing = false;
     while let Err(error) = try_one(store, session, key, value.clone()).await {
-        event!(warn, "closing-record-failed", key = key, reason = error);
+        if !failing {
+            event!(warn, "closing-record-failed", key = key, reason = error);
+        }
+        failing = true;
         let jitter = Millis(fastrand::u64(0..=PAUSE.0));
         Timer::after((PAUSE + jitter).duration()).await;
     }
