Count a target that refuses everything as having no slots

Cause: targets that answered 503 Not-Started to every task still counted with all their slots, so the expected wait stayed short and nothing went over to other domains; jobs ended 504 with idle targets next door.

Change: after 3 refusals in a row a target adds no capacity until it answers. It is still tried after its pauses of up to a second.

--- a/benches/load.rs
+++ b/benches/load.rs
@@ -1,7 +1,7 @@
 //! Seeded load on real VMs and small targets, one policy after the other under the same load.
 //!
 //! `cargo bench --bench load -- SCENARIO [--share 0.7] [--vms 2] [--seconds 30] [--seed 7]
-//! [--policies lone,simplest,choices,split,grants]` prints a row of a table for each policy. There are
+//! [--prove-after 1s] [--policies lone,simplest,choices,split,grants]` prints a row of a table for each policy. There are
 //! three domains of 17 targets with 8 slots and speeds from 1 to 4.
 
 #[path = "../tests/testenv/mod.rs"]
@@ -44,6 +44,7 @@
     seconds: u64,
     seed: u64,
     policies: Vec<String>,
+    prove_after: String,
 }
 
 /// One job of the load.
@@ -98,6 +99,7 @@
         seconds: 30,
         seed: 7,
         policies: ["lone", "simplest", "split", "grants"].map(str::to_owned).to_vec(),
+        prove_after: "1s".to_owned(),
     };
     let mut arguments = std::env::args().skip(1).filter(|argument| argument != "--bench");
     while let Some(name) = arguments.next() {
@@ -111,6 +113,7 @@
             "--vms" => plan.vms = value.parse().unwrap(),
             "--seconds" => plan.seconds = value.parse().unwrap(),
             "--seed" => plan.seed = value.parse().unwrap(),
+            "--prove-after" => plan.prove_after = value,
             "--policies" => plan.policies = value.split(',').map(str::to_owned).collect(),
             _ => panic!("there is no option {name}; see the top of benches/load.rs"),
         }
@@ -162,7 +165,7 @@
         let count = if policy == "lone" { 1 } else { plan.vms };
         let vms = DOMAINS.map(|domain| {
             (0..count)
-                .map(|number| start_vm(&directory, &store, domain, number))
+                .map(|number| start_vm(&directory, &store, plan, domain, number))
                 .collect::<Vec<_>>()
         });
         let vms = vms.into_iter().collect::<Vec<_>>();
@@ -372,13 +375,20 @@
     }
 }
 
-fn start_vm(directory: &std::path::Path, store: &Store, domain: &str, number: usize) -> Vm {
+fn start_vm(
+    directory: &std::path::Path,
+    store: &Store,
+    plan: &Plan,
+    domain: &str,
+    number: usize,
+) -> Vm {
     let name = format!("{domain}-{number}");
     let settings = json!({
         "vm": name, "domain": domain, "region": "r", "threads": 1,
         "listen": { "callers": "127.0.0.1:0", "peers": "127.0.0.1:0" },
         "store": { "url": store.url(), "prefix": "load" },
         "log": { "level": "warn" },
+        "targets": { "prove_after": plan.prove_after },
     });
     let vm = Vm::start(directory, &Place { name, domain: domain.into(), settings });
     wait_until("the VM is ready", Duration::from_secs(10), || {
--- a/src/dispatch/fleet.rs
+++ b/src/dispatch/fleet.rs
@@ -91,7 +91,8 @@
         let usable = self.usable(number);
         let target = &self.targets[number];
         let class = target.class();
-        let sound = target.wanted && !target.health.is_ejected();
+        let refuses = target.refusals >= REFUSALS_MAX;
+        let sound = target.wanted && !refuses && !target.health.is_ejected();
         let counted = (target.speed_class(), if sound { usable } else { 0 });
         self.count(number, counted);
         let listed = Some(class).filter(|_| free > 0);
@@ -211,6 +212,8 @@
     }
 }
 
+/// Refusals in a row after which a target counts as having no slots, until it answers again.
+const REFUSALS_MAX: u32 = 3;
 /// Classes of speed between two targets of which one is clearly faster.
 pub const CLEARLY_FASTER: usize = 2;
 /// Targets of a class that are looked at for home slots to lend.
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -322,6 +322,21 @@
     report("own targets gone for 20 s of 60", &model);
 }
 
+#[test]
+fn tasks_go_over_from_targets_that_refuse_all() {
+    let mut model = Model::new(&["a", "b"], document(&[("a", 5), ("b", 5)]), 3);
+    for number in 0..5 {
+        model.fault(0, &format!("a{number}"), Fault::Full);
+    }
+    for number in 0..40 {
+        model.submit(SECOND + number * SECOND / 4, 0, spec(&[100], false, 8_000));
+    }
+    let model = finish(model);
+    report("own targets refuse all", &model);
+    assert_eq!(model.complete(), model.jobs.len());
+    assert!(model.quantile(0.99) < 10.0);
+}
+
 #[test]
 fn an_adopted_task_starts_once_and_can_be_fenced() {
     let mut document = document(&[("a", 1)]);
--- a/tests/dispatch/model.rs
+++ b/tests/dispatch/model.rs
@@ -35,6 +35,8 @@
     Slow(f64),
     /// Refuses every connection.
     Gone,
+    /// Refuses every task as not started.
+    Full,
 }
 
 #[derive(Debug)]
@@ -276,7 +278,7 @@
         if server.fault == Fault::Gone {
             return self.push(self.now + TO_TARGET, back(Report::Unsent("refused".to_owned())));
         }
-        if server.busy >= server.slots {
+        if server.busy >= server.slots || server.fault == Fault::Full {
             return self.push(self.now + TO_TARGET, back(Report::Full));
         }
         server.starts += 1;
