Prove under load that leaving targets get no more starts and that a lost rack doubles none

Every reply of the load is checked against the targets' own ledger: whole, or a failure whose not-run is true. The load stops when a check fails, or the test would never end.

--- a/tests/news.rs
+++ b/tests/news.rs
@@ -3,13 +3,15 @@
 
 mod testenv;
 
-use std::sync::atomic::Ordering;
+use std::collections::HashSet;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
 use std::time::{Duration, Instant};
 
 use gypsumkeel::clock::Millis;
 use serde_json::{Value, json};
 use testenv::store::Store;
-use testenv::{Env, Job, Setup, Shut, wait_until};
+use testenv::{Env, Job, Setup, Shut, Target, wait_until};
 
 /// How long anything may take on a busy machine; the times themselves are printed.
 const LIMIT: Duration = Duration::from_secs(20);
@@ -225,6 +227,113 @@
     serve("after");
 }
 
+/// Callers for each VM: enough to need all targets' slots, for a light load stays at the best target.
+const CALLERS: usize = 12;
+
+/// Tells the load to stop when it is dropped, so that a failed check ends the test too.
+struct Stop<'a>(&'a AtomicBool);
+
+impl Drop for Stop<'_> {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+}
+
+/// Submits jobs by all VMs until told to stop; gives how many were whole and how many were not.
+fn load(env: &Env, name: &str, stop: &AtomicBool) -> (usize, usize) {
+    let prefixes = (0..env.len()).map(|index| smol::block_on(env.keys(index)));
+    let prefixes = prefixes.collect::<Vec<_>>();
+    let prefixes = &prefixes;
+    let run = (0..env.len() * CALLERS).map(|caller| async move {
+        let (mut whole, mut failed) = (0, 0);
+        for number in 0.. {
+            if stop.load(Ordering::Relaxed) {
+                break;
+            }
+            let job = Job::new(&format!("{name}-{caller}-{number}"), 4, 5);
+            let key = format!("{}.{name}-{caller}-{number}", prefixes[caller % prefixes.len()]);
+            let reply = env.caller((caller + number) % env.len()).submit(&key, &job).await.unwrap();
+            if reply.status == 200 {
+                assert!(reply.is_whole(&job.ids), "{reply:?}");
+                whole += 1;
+                continue;
+            }
+            let executed = job.ids.iter().any(|id| env.ledger.starts(id) > 0);
+            assert!(!(executed && reply.execution() == "not-run"), "{reply:?}");
+            failed += 1;
+        }
+        (whole, failed)
+    });
+    let counts = smol::block_on(futures_util::future::join_all(run));
+    counts.into_iter().fold((0, 0), |sum, one| (sum.0 + one.0, sum.1 + one.1))
+}
+
+fn starts(target: &Target) -> usize {
+    target.counts().answered.load(Ordering::Relaxed)
+        + target.counts().running.load(Ordering::Relaxed)
+}
+
+#[test]
+fn under_load_the_last_start_at_a_leaving_target_is_soon_after_its_mark() {
+    let env = Env::start(&Setup { domains: &["a", "b"], vms: 2, targets: 3, ..Setup::default() });
+    let (leaving, stop) = (&env.targets[0], AtomicBool::new(false));
+    let (counts, last) = thread::scope(|scope| {
+        let load = scope.spawn(|| load(&env, "leaving", &stop));
+        let until = Stop(&stop);
+        wait_until("work at all targets", LIMIT, || {
+            env.targets.iter().all(|target| starts(target) > 20)
+        });
+        env.store.leave(&leaving.name, true);
+        let marked = Instant::now();
+        let (mut last, mut seen) = (Duration::ZERO, starts(leaving));
+        wait_until("no more starts for two seconds", LIMIT, || {
+            let now = starts(leaving);
+            if now > seen {
+                (last, seen) = (marked.elapsed(), now);
+            }
+            marked.elapsed() > last + Duration::from_secs(2)
+        });
+        drop(until);
+        (load.join().unwrap(), last)
+    });
+    println!("last start {} ms after the mark; {counts:?} jobs whole, not", last.as_millis());
+    assert!(last < Duration::from_secs(3), "{last:?}");
+    assert_eq!((counts.1, env.ledger.repeated(&HashSet::new())), (0, Vec::new()));
+}
+
+#[test]
+fn a_rack_of_targets_lost_at_once_starts_nothing_twice_and_work_goes_on() {
+    let env = Env::start(&Setup { domains: &["a", "b"], vms: 1, targets: 4, ..Setup::default() });
+    let stop = AtomicBool::new(false);
+    let (whole, failed) = thread::scope(|scope| {
+        let load = scope.spawn(|| load(&env, "rack", &stop));
+        let until = Stop(&stop);
+        let busy = |targets: &[Target], more: usize| {
+            let before = targets.iter().map(starts).collect::<Vec<_>>();
+            wait_until("more work", LIMIT, || {
+                targets.iter().zip(&before).all(|(target, before)| starts(target) > before + more)
+            });
+        };
+        busy(&env.targets, 20);
+        // The rack holds half of the targets of each domain.
+        let rack = [0, 1, 4, 5].map(|index| &env.targets[index]);
+        for target in rack {
+            target.kill();
+        }
+        busy(&env.targets[2..4], 50);
+        busy(&env.targets[6..8], 50);
+        for target in rack {
+            target.revive();
+        }
+        busy(&env.targets, 20);
+        drop(until);
+        load.join().unwrap()
+    });
+    println!("{whole} jobs whole, {failed} not");
+    assert_eq!(env.ledger.repeated(&HashSet::new()), Vec::new());
+    assert!(whole > 50 && failed < whole / 2, "{whole} whole, {failed} not");
+}
+
 /// Run by command: `cargo test --release --test news -- --ignored --nocapture`.
 #[test]
 #[ignore = "a measurement of two minutes"]
@@ -244,7 +353,7 @@
         }
     };
     let begun: Vec<Value> = before(&env);
-    std::thread::sleep(MINUTE);
+    thread::sleep(MINUTE);
     report("idle, one minute", begun);
     let begun: Vec<Value> = before(&env);
     let mut slowest = Duration::ZERO;
@@ -253,7 +362,7 @@
         let since = Instant::now();
         wait_until("in force", LIMIT, || (0..6).all(|index| version(&env, index) == expected));
         slowest = slowest.max(since.elapsed());
-        std::thread::sleep((MINUTE / CHANGES).saturating_sub(since.elapsed()));
+        thread::sleep((MINUTE / CHANGES).saturating_sub(since.elapsed()));
     }
     report("40 changes in one minute", begun);
     println!("slowest change in force on 6 VMs after {} ms", slowest.as_millis());
