Prove a connection after 5 s of idleness, not after 1 s

The system's keepalive finds an idle connection that has gone silent within 8 s by itself, which costs no request.

--- a/benches/capacity.rs
+++ b/benches/capacity.rs
@@ -40,7 +40,7 @@
 fn settings() -> Value {
     json!({
         "heartbeat": { "every": "500ms", "patience": "2s" },
-        "targets": { "prove_after": "1s" },
+        "targets": { "prove_after": "5s" },
         "threads": 2,
         "log": { "level": "info" },
     })
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -190,7 +190,7 @@
 
 impl Default for Targets {
     fn default() -> Self {
-        Self { connect_timeout: Millis::from_secs(1), prove_after: Millis::from_secs(1) }
+        Self { connect_timeout: Millis::from_secs(1), prove_after: Millis::from_secs(5) }
     }
 }
 
