--- a/benches/engine.rs
+++ b/benches/engine.rs
@@ -1,4 +1,4 @@
-//! The engine's own cost for each start, at the size of the letter: 2,100 targets in one domain, jobs
+//! The engine's own cost for each start, at the size aimed for: 2,100 targets in one domain, jobs
 //! of 450 tasks and of one, 20,000 tasks waiting.
 //!
 //! `cargo bench --bench engine` prints a line for each case.
