--- a/tests/random.rs
+++ b/tests/random.rs
@@ -110,6 +110,8 @@
             Self::Pause(vm) => env.vm(vm).thaw(),
             Self::Stop(vm) => {
                 env.vm(vm).thaw();
+                // Another trouble may have replaced the process that was asked to stop.
+                env.vm(vm).stop();
                 env.vm(vm).wait();
                 env.replace(vm);
             }
