Claim no key for a VM that is stopping

Cause: a stopping VM that was handed a key its caller had made up claimed it for itself and then refused it, so the key could never run anywhere: 503 not-run now, 410 for ever after. Found by reading. Change: while it stops a VM only looks up claims made before, and sends others on with 503, unknown. a_stopping_vm_claims_no_key_for_itself: not-run before, whole by another VM with the same key now.

--- a/src/membership/claim.rs
+++ b/src/membership/claim.rs
@@ -17,6 +17,8 @@
 pub enum Error {
     /// The budget of this second is used up.
     Budget,
+    /// The VM is stopping, and a key claimed for it could never run.
+    Stopping,
     /// The store gave no usable answer. Another VM, or this claim itself, may hold the key by now.
     Store(platform::Error),
 }
@@ -28,6 +30,9 @@
                 "the claims of this second are used up; submit again later, or with a prefix from \
                  POST /v1/keys, which needs no claim",
             ),
+            Self::Stopping => f.write_str(
+                "this VM is stopping and claims no keys; submit again with the same key to another VM",
+            ),
             Self::Store(error) => write!(
                 f,
                 "the key can't be claimed: {error}; submit again with the same key, or with a \
--- a/src/serve/keys.rs
+++ b/src/serve/keys.rs
@@ -77,14 +77,18 @@
         }
     }
 
+    fn may_claim(&self, per_second: u32) -> Result<(), claim::Error> {
+        if self.is_draining() {
+            return Err(claim::Error::Stopping);
+        }
+        let mut budget = self.claims.lock().unwrap_or_else(PoisonError::into_inner);
+        budget.take(self.now(), per_second)
+    }
+
     async fn claim(&self, text: &str) -> Result<Key, Failure> {
         let store_prefix = &self.settings.store.prefix;
         let per_second = self.document().limits.claims_per_second;
-        let taken = {
-            let mut budget = self.claims.lock().unwrap_or_else(PoisonError::into_inner);
-            budget.take(self.now(), per_second)
-        };
-        if let Err(error) = taken {
+        if let Err(error) = self.may_claim(per_second) {
             // A key that was claimed before needs no write, and its job may have run.
             let found = claim::find(&*self.store, store_prefix, text).await.ok().flatten();
             return found.map(|prefix| claimed(prefix, text)).ok_or_else(|| unclaimed(&error));
--- a/tests/guarantees_stop.rs
+++ b/tests/guarantees_stop.rs
@@ -224,3 +224,25 @@
         whole(std::slice::from_ref(&running), &[reply.unwrap()]);
     });
 }
+
+#[test]
+fn a_stopping_vm_claims_no_key_for_itself() {
+    let env = Env::start(&Setup::default());
+    smol::block_on(async {
+        let prefix = &env.keys(0).await;
+        let long = jobs("long", 1, 1500);
+        let stop = async {
+            all_started(&env, &long).await;
+            env.vm(0).stop();
+            until("it drains", LIMIT, || async { !env.caller(0).is_ready().await }).await;
+            let made_up = Job::new("made-up", 2, 5);
+            let reply = env.caller(0).submit("order-77", &made_up).await.unwrap();
+            assert_eq!((reply.status, reply.execution()), (503, "unknown"), "{reply:?}");
+            let reply = env.caller(1).submit("order-77", &made_up).await.unwrap();
+            assert!(reply.is_whole(&made_up.ids), "{reply:?}");
+        };
+        let (replies, ()) = zip(submit_all(&env, prefix, &long, &[0]), stop).await;
+        whole(&long, &replies);
+        assert_eq!(env.ledger.repeated(&HashSet::new()), []);
+    });
+}
