--- a/src/dispatch/guest.rs
+++ b/src/dispatch/adopted.rs
@@ -14,7 +14,7 @@
 /// How long the end of a task stays known.
 const KEEP: Millis = Millis::from_secs(60);
 /// The most tasks that are known at once.
-const GUESTS_MAX: usize = 50_000;
+const TASKS_MAX: usize = 50_000;
 
 /// How far a task is.
 #[derive(Debug)]
@@ -29,7 +29,7 @@
 
 /// A task of another domain's VM.
 #[derive(Debug)]
-pub struct Guest {
+pub struct Entry {
     /// What it is.
     pub adoption: Adoption,
     /// Its service.
@@ -41,27 +41,27 @@
 
 /// All tasks of other domains' VMs.
 #[derive(Debug, Default)]
-pub struct Guests {
-    known: BTreeMap<Adopted, Guest>,
+pub struct Table {
+    known: BTreeMap<Adopted, Entry>,
     /// Per coordinator, the highest number that was known and is forgotten.
     forgotten: BTreeMap<Incarnation, u64>,
 }
 
-impl Guests {
+impl Table {
     /// A task that is known.
-    pub fn get(&self, adopted: Adopted) -> Option<&Guest> {
+    pub fn get(&self, adopted: Adopted) -> Option<&Entry> {
         self.known.get(&adopted)
     }
 
     /// The service of a task that is known.
     pub fn service(&self, adopted: Adopted) -> Option<usize> {
-        self.known.get(&adopted).map(|guest| guest.service)
+        self.known.get(&adopted).map(|entry| entry.service)
     }
 
     /// Notes that a task is on a target.
     pub fn run(&mut self, adopted: Adopted) {
-        if let Some(guest) = self.known.get_mut(&adopted) {
-            guest.stage = Stage::Running;
+        if let Some(entry) = self.known.get_mut(&adopted) {
+            entry.stage = Stage::Running;
         }
     }
 
@@ -86,13 +86,13 @@
         adoption: Adoption,
         actions: &mut Vec<Action>,
     ) {
-        if let Some(guest) = self.guests.get(adopted) {
-            if let Stage::Ended(report) = &guest.stage {
+        if let Some(entry) = self.adopted.get(adopted) {
+            if let Stage::Ended(report) = &entry.stage {
                 actions.push(Action::Return { adopted, report: report.clone() });
             }
             return;
         }
-        if self.guests.may_be_forgotten(adopted) {
+        if self.adopted.may_be_forgotten(adopted) {
             actions.push(Action::Return { adopted, report: forgotten() });
             return;
         }
@@ -104,9 +104,9 @@
         self.counts.adopted += 1;
         let deadline = now + adoption.remaining;
         let declared = adoption.expected;
-        let guest = Guest { adoption, service, deadline, stage: Stage::Waiting };
-        self.guests.known.insert(adopted, guest);
-        self.timers.add(deadline, Timer::Guest(adopted));
+        let entry = Entry { adoption, service, deadline, stage: Stage::Waiting };
+        self.adopted.known.insert(adopted, entry);
+        self.timers.add(deadline, Timer::Adopted(adopted));
         if let Some((pool, entry)) = self.entry(Source::Adopted(adopted), declared) {
             self.queues[pool].push(&entry, 0..1);
         }
@@ -114,23 +114,24 @@
 
     /// Tells how a task ended, now or at its end; one that is not on a target never will be.
     pub(super) fn fate(&mut self, now: Millis, adopted: Adopted, actions: &mut Vec<Action>) {
-        let Some(guest) = self.guests.get(adopted) else {
-            let report = if self.guests.may_be_forgotten(adopted) { forgotten() } else { fenced() };
-            self.guests.known.insert(adopted, Guest::fence(now, report.clone()));
-            self.timers.add(now + KEEP, Timer::GuestEnd(adopted));
+        let Some(entry) = self.adopted.get(adopted) else {
+            let report =
+                if self.adopted.may_be_forgotten(adopted) { forgotten() } else { fenced() };
+            self.adopted.known.insert(adopted, Entry::fence(now, report.clone()));
+            self.timers.add(now + KEEP, Timer::AdoptedEnd(adopted));
             actions.push(Action::Return { adopted, report });
             return;
         };
-        match &guest.stage {
+        match &entry.stage {
             Stage::Running => {}
             Stage::Ended(report) => {
                 actions.push(Action::Return { adopted, report: report.clone() });
             }
-            Stage::Waiting => self.end_guest(now, adopted, fenced(), actions),
+            Stage::Waiting => self.end_adopted(now, adopted, fenced(), actions),
         }
     }
 
-    pub(super) fn guest_ended(
+    pub(super) fn adopted_ended(
         &mut self,
         now: Millis,
         adopted: Adopted,
@@ -138,41 +139,41 @@
         actions: &mut Vec<Action>,
     ) {
         let not_started = matches!(report, Report::Full | Report::Unsent(_));
-        let Some(guest) = self.guests.known.get_mut(&adopted) else { return };
-        if not_started && guest.deadline > now {
-            guest.stage = Stage::Waiting;
+        let Some(entry) = self.adopted.known.get_mut(&adopted) else { return };
+        if not_started && entry.deadline > now {
+            entry.stage = Stage::Waiting;
             self.requeue(Source::Adopted(adopted), 0);
         } else {
-            self.end_guest(now, adopted, report, actions);
+            self.end_adopted(now, adopted, report, actions);
         }
     }
 
-    pub(super) fn guest_expired(
+    pub(super) fn adopted_expired(
         &mut self,
         now: Millis,
         adopted: Adopted,
         actions: &mut Vec<Action>,
     ) {
-        let waits = |guest: &Guest| matches!(guest.stage, Stage::Waiting);
-        if self.guests.get(adopted).is_some_and(waits) {
+        let waits = |entry: &Entry| matches!(entry.stage, Stage::Waiting);
+        if self.adopted.get(adopted).is_some_and(waits) {
             let report = Report::Unsent("its time was up before a slot was free".to_owned());
-            self.end_guest(now, adopted, report, actions);
+            self.end_adopted(now, adopted, report, actions);
         }
     }
 
-    fn end_guest(
+    fn end_adopted(
         &mut self,
         now: Millis,
         adopted: Adopted,
         report: Report,
         actions: &mut Vec<Action>,
     ) {
-        let Some(guest) = self.guests.known.get_mut(&adopted) else { return };
-        guest.stage = Stage::Ended(report.clone());
-        let pool = self.services.list[guest.service].pool;
-        self.timers.remove(guest.deadline, Timer::Guest(adopted));
+        let Some(entry) = self.adopted.known.get_mut(&adopted) else { return };
+        entry.stage = Stage::Ended(report.clone());
+        let pool = self.services.list[entry.service].pool;
+        self.timers.remove(entry.deadline, Timer::Adopted(adopted));
         self.queues[pool].remove(Source::Adopted(adopted));
-        self.timers.add(now + KEEP, Timer::GuestEnd(adopted));
+        self.timers.add(now + KEEP, Timer::AdoptedEnd(adopted));
         actions.push(Action::Return { adopted, report });
     }
 
@@ -180,11 +181,11 @@
     fn has_room(&self, service: usize) -> bool {
         let pool = self.services.list[service].pool;
         let wait = self.expected_wait(pool);
-        self.guests.known.len() < GUESTS_MAX && wait.is_some_and(|wait| wait * 2 < OVER_WAIT)
+        self.adopted.known.len() < TASKS_MAX && wait.is_some_and(|wait| wait * 2 < OVER_WAIT)
     }
 }
 
-impl Guest {
+impl Entry {
     fn fence(now: Millis, report: Report) -> Self {
         let adoption = Adoption {
             name: String::new(),
--- a/src/dispatch/engine.rs
+++ b/src/dispatch/engine.rs
@@ -9,10 +9,10 @@
 use crate::config::{Document, SlotMode};
 use crate::job::{self, Incarnation, Job, Outcome};
 
+use super::adopted;
 use super::budget::Budget;
 use super::event::{Action, Counts, Event, Member, Place, StartId};
 use super::fleet::{CLEARLY_FASTER, Fleet};
-use super::guest::Guests;
 use super::over::WINDOW_FIRST;
 use super::pool::SUSPECT;
 use super::queue::{Entry, Queue, Source};
@@ -39,7 +39,7 @@
     /// By pool, until when its head waits for a slot that is faster than the free ones.
     pub(super) held: Vec<Option<Millis>>,
     pub(super) jobs: BTreeMap<job::Id, Flight>,
-    pub(super) guests: Guests,
+    pub(super) adopted: adopted::Table,
     pub(super) open: BTreeMap<StartId, Attempt>,
     pub(super) slots: Slots,
     /// VMs of other domains.
@@ -110,7 +110,7 @@
             queues: Vec::new(),
             held: Vec::new(),
             jobs: BTreeMap::new(),
-            guests: Guests::default(),
+            adopted: adopted::Table::default(),
             open: BTreeMap::new(),
             slots: Slots::new(own),
             others: BTreeMap::new(),
@@ -229,7 +229,7 @@
                 let flight = self.jobs.get(&id)?;
                 (flight.service, flight.team)
             }
-            Source::Adopted(adopted) => (self.guests.service(adopted)?, 0),
+            Source::Adopted(adopted) => (self.adopted.service(adopted)?, 0),
         };
         let service = &self.services.list[service];
         let size = super::estimate::time(service.size.mean(declared));
@@ -270,8 +270,8 @@
                 Timer::Retry(id, index) => self.retry(id, index),
                 Timer::Target(number) => self.fleet.refresh(now, number),
                 Timer::Spare(start) => self.spare(now, start, actions),
-                Timer::Guest(adopted) => self.guest_expired(now, adopted, actions),
-                Timer::GuestEnd(adopted) => self.guests.drop_ended(adopted),
+                Timer::Adopted(adopted) => self.adopted_expired(now, adopted, actions),
+                Timer::AdoptedEnd(adopted) => self.adopted.drop_ended(adopted),
                 Timer::Review => self.review(now),
                 Timer::Pools | Timer::Slots => {}
             }
--- a/src/dispatch/event.rs
+++ b/src/dispatch/event.rs
@@ -57,20 +57,20 @@
 pub struct SlotMessage {
     /// How many slots the sender would use now.
     #[serde(default, rename = "w", skip_serializing_if = "Option::is_none")]
-    pub wish: Option<Wish>,
+    pub request: Option<Request>,
     /// Slots that the sender lends.
     #[serde(default, rename = "l", skip_serializing_if = "Vec::is_empty")]
     pub loans: Vec<Loan>,
     /// Lent slots that the sender gives back.
     #[serde(default, rename = "b", skip_serializing_if = "Vec::is_empty")]
-    pub backs: Vec<Back>,
+    pub returns: Vec<Return>,
 }
 
-/// How many slots a VM would use now; stands until its next wish.
+/// How many slots a VM would use now; stands until its next request.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(from = "(u32, Vec<Wanted>)", into = "(u32, Vec<Wanted>)")]
-pub struct Wish {
-    /// Grows with each wish of the sender.
+pub struct Request {
+    /// Grows with each request of the sender.
     pub number: u32,
     /// By pool of targets.
     pub slots: Vec<Wanted>,
@@ -103,22 +103,22 @@
 /// One target's slots that were given back by one VM to one other.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(from = "(u32, u32)", into = "(u32, u32)")]
-pub struct Back {
+pub struct Return {
     /// The hash of the target's id.
     pub target: u32,
     /// All that were ever given back.
     pub returned: u32,
 }
 
-impl From<(u32, Vec<Wanted>)> for Wish {
+impl From<(u32, Vec<Wanted>)> for Request {
     fn from((number, slots): (u32, Vec<Wanted>)) -> Self {
         Self { number, slots }
     }
 }
 
-impl From<Wish> for (u32, Vec<Wanted>) {
-    fn from(wish: Wish) -> Self {
-        (wish.number, wish.slots)
+impl From<Request> for (u32, Vec<Wanted>) {
+    fn from(request: Request) -> Self {
+        (request.number, request.slots)
     }
 }
 
@@ -146,14 +146,14 @@
     }
 }
 
-impl From<(u32, u32)> for Back {
+impl From<(u32, u32)> for Return {
     fn from((target, returned): (u32, u32)) -> Self {
         Self { target, returned }
     }
 }
 
-impl From<Back> for (u32, u32) {
-    fn from(back: Back) -> Self {
+impl From<Return> for (u32, u32) {
+    fn from(back: Return) -> Self {
         (back.target, back.returned)
     }
 }
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -2,16 +2,17 @@
 //! it does no I/O, reads no clock and starts no thread, so that any host can drive it.
 
 mod account;
+mod adopted;
 mod budget;
 mod engine;
 mod estimate;
 mod event;
 mod fleet;
-mod guest;
 mod health;
 mod over;
 mod pool;
 mod queue;
+mod request;
 mod run;
 mod service;
 mod settle;
@@ -20,10 +21,9 @@
 mod target;
 mod timer;
 mod traffic;
-mod wish;
 
 pub use engine::Engine;
 pub use event::{
-    Action, Adopted, Adoption, Back, Counts, Event, Loan, Member, Place, Report, SlotMessage,
-    Start, StartId, Wanted, Wish,
+    Action, Adopted, Adoption, Counts, Event, Loan, Member, Place, Report, Request, Return,
+    SlotMessage, Start, StartId, Wanted,
 };
--- a/src/dispatch/run.rs
+++ b/src/dispatch/run.rs
@@ -45,8 +45,8 @@
         let grants = self.document.limits.slots.mode == SlotMode::Grants;
         let pool = &self.fleet.pools[number];
         let slow = !pool.is_full() && pool.best_free() >= pool.best() + SLOW_CLASSES;
-        let may_wish = grants && self.slots.may_wish(now);
-        if !slow || !may_wish || self.queues[number].is_empty() {
+        let may_request = grants && self.slots.may_request(now);
+        if !slow || !may_request || self.queues[number].is_empty() {
             self.held[number] = None;
             return false;
         }
@@ -192,14 +192,14 @@
                 })
             }
             Source::Adopted(adopted) => {
-                let guest = self.guests.get(adopted)?;
+                let entry = self.adopted.get(adopted)?;
                 Some(Task {
-                    service: guest.service,
-                    payload: Arc::clone(&guest.adoption.payload),
-                    declared: guest.adoption.expected,
-                    repeatable: guest.adoption.repeatable,
-                    deadline: guest.deadline,
-                    name: Some(guest.adoption.name.clone()),
+                    service: entry.service,
+                    payload: Arc::clone(&entry.adoption.payload),
+                    declared: entry.adoption.expected,
+                    repeatable: entry.adoption.repeatable,
+                    deadline: entry.deadline,
+                    name: Some(entry.adoption.name.clone()),
                 })
             }
         }
@@ -222,7 +222,7 @@
                     self.counts.further_starts += 1;
                 }
             }
-            Source::Adopted(adopted) => self.guests.run(adopted),
+            Source::Adopted(adopted) => self.adopted.run(adopted),
         }
     }
 
--- a/src/dispatch/settle.rs
+++ b/src/dispatch/settle.rs
@@ -42,7 +42,7 @@
         }
         match attempt.source {
             Source::Job(id) => self.settle(now, id, &attempt, report, actions),
-            Source::Adopted(adopted) => self.guest_ended(now, adopted, report, actions),
+            Source::Adopted(adopted) => self.adopted_ended(now, adopted, report, actions),
         }
     }
 
--- a/src/dispatch/slots.rs
+++ b/src/dispatch/slots.rs
@@ -10,10 +10,10 @@
 use crate::job::Incarnation;
 
 use super::account::{Account, weight};
-use super::event::{Action, Back, Loan, SlotMessage, Wanted, Wish};
+use super::event::{Action, Loan, Request, Return, SlotMessage, Wanted};
 use super::fleet::{CLEARLY_FASTER, Fleet};
+use super::request::Own;
 use super::traffic::Traffic;
-use super::wish::Own;
 
 /// The least time between two messages to the same peer.
 const SEND_EVERY: Millis = Millis(2);
@@ -32,18 +32,18 @@
 #[derive(Debug, Default)]
 struct Peer {
     /// What it wants, by the hash of the pool; counted down as slots are lent.
-    wishes: BTreeMap<u32, Wanted>,
-    /// The number of its last wish.
-    wish_number: u32,
+    requests: BTreeMap<u32, Wanted>,
+    /// The number of its last request.
+    request_number: u32,
     last_sent: Option<Millis>,
-    wish_due: bool,
+    request_due: bool,
     loans_due: BTreeSet<u32>,
-    backs_due: BTreeSet<u32>,
+    returns_due: BTreeSet<u32>,
 }
 
 impl Peer {
     fn has_news(&self) -> bool {
-        self.wish_due || !self.loans_due.is_empty() || !self.backs_due.is_empty()
+        self.request_due || !self.loans_due.is_empty() || !self.returns_due.is_empty()
     }
 }
 
@@ -56,8 +56,8 @@
     borrowed: BTreeMap<(Incarnation, u32), Account>,
     /// The slots borrowed and not yet returned.
     held: u32,
-    wishes: BTreeMap<u32, Own>,
-    wish_number: u32,
+    requests: BTreeMap<u32, Own>,
+    request_number: u32,
     traffic: Traffic,
     checked_at: Millis,
 }
@@ -71,8 +71,8 @@
             lent: BTreeMap::new(),
             borrowed: BTreeMap::new(),
             held: 0,
-            wishes: BTreeMap::new(),
-            wish_number: 0,
+            requests: BTreeMap::new(),
+            request_number: 0,
             traffic: Traffic::new(),
             checked_at: Millis::ZERO,
         }
@@ -144,16 +144,18 @@
         changed: &mut Vec<usize>,
     ) {
         let Some(peer) = self.peers.get_mut(&from) else { return };
-        if let Some(wish) = message.wish.filter(|wish| wish.number > peer.wish_number) {
-            peer.wish_number = wish.number;
-            let wanted = wish.slots.into_iter();
-            peer.wishes = wanted.map(|wanted| (wanted.pool, wanted)).collect();
+        if let Some(request) =
+            message.request.filter(|request| request.number > peer.request_number)
+        {
+            peer.request_number = request.number;
+            let wanted = request.slots.into_iter();
+            peer.requests = wanted.map(|wanted| (wanted.pool, wanted)).collect();
         }
         for loan in message.loans {
             let Some(number) = fleet.by_hash(loan.target) else { continue };
             let account = self.borrowed.entry((from, loan.target)).or_default();
             if loan.lent <= account.lent && loan.due <= account.due {
-                peer.backs_due.insert(loan.target);
+                peer.returns_due.insert(loan.target);
             }
             let before = account.held();
             account.lent = account.lent.max(loan.lent);
@@ -163,7 +165,7 @@
             fleet.targets[number].borrowed += more;
             changed.push(number);
         }
-        for back in message.backs {
+        for back in message.returns {
             let Some(number) = fleet.by_hash(back.target) else { continue };
             let account = self.lent.entry((from, back.target)).or_default();
             let before = account.held();
@@ -178,14 +180,14 @@
         }
     }
 
-    /// Whether there is a VM to borrow from, and control traffic to spare for wishes that are not urgent.
-    pub fn may_wish(&self, now: Millis) -> bool {
+    /// Whether there is a VM to borrow from, and control traffic to spare for requests that are not urgent.
+    pub fn may_request(&self, now: Millis) -> bool {
         !self.peers.is_empty() && self.traffic.is_ample(now)
     }
 
     /// Whether a peer wants slots of any pool.
     pub fn is_wanted(&self) -> bool {
-        self.peers.values().any(|peer| !peer.wishes.is_empty())
+        self.peers.values().any(|peer| !peer.requests.is_empty())
     }
 
     /// Lends one idle home slot of a pool to each peer that wants some. Returns the targets.
@@ -193,12 +195,12 @@
         let pool = fleet.pools[number].hash;
         let mut changed = Vec::new();
         for (&id, peer) in &mut self.peers {
-            let Some(wanted) = peer.wishes.get_mut(&pool) else { continue };
+            let Some(wanted) = peer.requests.get_mut(&pool) else { continue };
             let class = usize::from(wanted.class);
             let Some(target) = fleet.lendable(now, number, class) else { continue };
             wanted.slots = wanted.slots.saturating_sub(1);
             if wanted.slots == 0 {
-                peer.wishes.remove(&pool);
+                peer.requests.remove(&pool);
             }
             let hash = fleet.targets[target].hash;
             let account = self.lent.entry((id, hash)).or_default();
@@ -227,11 +229,11 @@
         }
         let pool = fleet.pools[number].hash;
         let share = waiting.div_ceil(self.peers.len()) as u32;
-        let own = self.wishes.entry(pool).or_default();
+        let own = self.requests.entry(pool).or_default();
         own.waiting = share;
         own.class = class as u8;
         if own.is_due(now) {
-            self.tell_wishes(now);
+            self.tell_requests(now);
         }
         if waiting > 0 {
             self.recall(now, number, waiting as u32, class, fleet);
@@ -290,8 +292,8 @@
                 continue;
             }
             let message =
-                write(id, peer, &self.lent, &self.borrowed, self.wish_number, &self.wishes);
-            let entries = message.loans.len() + message.backs.len() + self.wishes.len();
+                write(id, peer, &self.lent, &self.borrowed, self.request_number, &self.requests);
+            let entries = message.loans.len() + message.returns.len() + self.requests.len();
             self.traffic.spend(MESSAGE_BYTES + ENTRY_BYTES * entries as u64);
             peer.last_sent = Some(now);
             actions.push(Action::Tell { to: id, message });
@@ -306,28 +308,28 @@
         let pause = SEND_EVERY.max(self.traffic.pause(MESSAGE_BYTES));
         let flush = news.then_some(now + pause);
         let check = (self.held > 0).then_some(self.checked_at + Self::check_every(hold));
-        let wish = self.wishes.values().filter_map(|own| own.due_at(now)).min();
-        [flush, check, wish].into_iter().flatten().min()
+        let request = self.requests.values().filter_map(|own| own.due_at(now)).min();
+        [flush, check, request].into_iter().flatten().min()
     }
 
     const fn check_every(hold: Millis) -> Millis {
         Millis(hold.0 / 2 + 1)
     }
 
-    fn tell_wishes(&mut self, now: Millis) {
-        self.wish_number += 1;
-        for own in self.wishes.values_mut() {
+    fn tell_requests(&mut self, now: Millis) {
+        self.request_number += 1;
+        for own in self.requests.values_mut() {
             own.told = own.waiting;
             own.told_at = Some(now);
         }
         for peer in self.peers.values_mut() {
-            peer.wish_due = true;
+            peer.request_due = true;
         }
     }
 
     fn recall(&mut self, now: Millis, pool: usize, waiting: u32, class: usize, fleet: &Fleet) {
         let hash = fleet.pools[pool].hash;
-        let own = self.wishes.entry(hash).or_default();
+        let own = self.requests.entry(hash).or_default();
         if own.recalled_at.is_some_and(|at| now < at + RECALL_EVERY) {
             return;
         }
@@ -379,7 +381,7 @@
             idle -= back;
             self.held -= back;
             fleet.targets[number].borrowed -= back;
-            peer.backs_due.insert(target);
+            peer.returns_due.insert(target);
         }
     }
 
@@ -408,11 +410,11 @@
     fn greet(&mut self, id: Incarnation) {
         let range = (id, 0)..=(id, u32::MAX);
         let loans = self.lent.range(range.clone()).map(|(&(_, target), _)| target);
-        let backs = self.borrowed.range(range).map(|(&(_, target), _)| target);
+        let returns = self.borrowed.range(range).map(|(&(_, target), _)| target);
         let peer = Peer {
             loans_due: loans.collect(),
-            backs_due: backs.collect(),
-            wish_due: !self.wishes.is_empty(),
+            returns_due: returns.collect(),
+            request_due: !self.requests.is_empty(),
             ..Peer::default()
         };
         self.peers.insert(id, peer);
@@ -425,13 +427,13 @@
     lent: &BTreeMap<(Incarnation, u32), Account>,
     borrowed: &BTreeMap<(Incarnation, u32), Account>,
     number: u32,
-    wishes: &BTreeMap<u32, Own>,
+    requests: &BTreeMap<u32, Own>,
 ) -> SlotMessage {
-    let wish = std::mem::take(&mut peer.wish_due).then(|| {
-        let open = wishes.iter().filter(|(_, own)| own.told > 0);
+    let request = std::mem::take(&mut peer.request_due).then(|| {
+        let open = requests.iter().filter(|(_, own)| own.told > 0);
         let wanted =
             |(&pool, own): (&u32, &Own)| Wanted { pool, slots: own.told, class: own.class };
-        Wish { number, slots: open.map(wanted).collect() }
+        Request { number, slots: open.map(wanted).collect() }
     });
     let loan = |target| {
         let account = lent.get(&(id, target)).copied().unwrap_or_default();
@@ -439,9 +441,9 @@
     };
     let back = |target| {
         let account = borrowed.get(&(id, target)).copied().unwrap_or_default();
-        Back { target, returned: account.returned }
+        Return { target, returned: account.returned }
     };
     let loans = std::mem::take(&mut peer.loans_due).into_iter().map(loan).collect();
-    let backs = std::mem::take(&mut peer.backs_due).into_iter().map(back).collect();
-    SlotMessage { wish, loans, backs }
+    let returns = std::mem::take(&mut peer.returns_due).into_iter().map(back).collect();
+    SlotMessage { request, loans, returns }
 }
--- a/src/dispatch/timer.rs
+++ b/src/dispatch/timer.rs
@@ -19,9 +19,9 @@
     /// An attempt has lasted unusually long.
     Spare(StartId),
     /// The time of another domain's task is up.
-    Guest(Adopted),
+    Adopted(Adopted),
     /// The end of another domain's task need not be known any longer.
-    GuestEnd(Adopted),
+    AdoptedEnd(Adopted),
     /// Speeds and unused targets are to be gone through.
     Review,
     /// The queues are to be looked at again.
--- a/tests/dispatch/model.rs
+++ b/tests/dispatch/model.rs
@@ -93,7 +93,7 @@
     pub now: u64,
     heap: BinaryHeap<Reverse<(u64, u64)>>,
     occurrences: BTreeMap<u64, Occurrence>,
-    guests: BTreeMap<Adopted, usize>,
+    adopted: BTreeMap<Adopted, usize>,
     ticks: Vec<Option<u64>>,
     sequence: u64,
     chance: Rng,
@@ -172,7 +172,7 @@
             now: 0,
             heap: BinaryHeap::new(),
             occurrences: BTreeMap::new(),
-            guests: BTreeMap::new(),
+            adopted: BTreeMap::new(),
             sequence: 0,
         };
         model.configure(document);
@@ -331,7 +331,7 @@
                 done.outcome = Some(outcome);
             }
             Action::Return { adopted, report } => {
-                let Some(&to) = self.guests.get(&adopted) else { return };
+                let Some(&to) = self.adopted.get(&adopted) else { return };
                 let event = Event::Report { start: adopted.start, report };
                 self.push(self.now + ACROSS, Occurrence::Deliver(to, event));
             }
@@ -340,7 +340,7 @@
 
     fn hand_over(&mut self, from: usize, peer: Incarnation, start: Start) {
         let adopted = Adopted { coordinator: vm(from), start: start.id };
-        self.guests.insert(adopted, from);
+        self.adopted.insert(adopted, from);
         let adoption = Adoption {
             name: start.name,
             service: start.service,
