Let a test of the store's outage last as long as one asks, and wait for readiness in it

GYPSUMKEEL_OUTAGE_SECONDS keeps the store out while VMs are killed and replaced in turn. The first run of 120 s failed by the test itself: it took a prefix from a VM that had just been started and was not ready, which the short run may have met too.

--- a/tests/news.rs
+++ b/tests/news.rs
@@ -4,6 +4,7 @@
 mod testenv;
 
 use std::collections::HashSet;
+use std::env;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -11,7 +12,7 @@
 use gypsumkeel::clock::Millis;
 use serde_json::{Value, json};
 use testenv::store::Store;
-use testenv::{Env, Job, Setup, Shut, Target, wait_until};
+use testenv::{Env, Job, Setup, Shut, Target, until, wait_until};
 
 /// How long anything may take on a busy machine; the times themselves are printed.
 const LIMIT: Duration = Duration::from_secs(20);
@@ -185,6 +186,7 @@
     assert_eq!(env.ledger.total(), 3);
 }
 
+/// The outage lasts for a few seconds, or as many as `GYPSUMKEEL_OUTAGE_SECONDS` says.
 #[test]
 fn vms_that_come_and_go_during_an_outage_are_known_after_it() {
     let env = Env::start(&Setup {
@@ -198,6 +200,7 @@
         members.map(|member| member["incarnation"].clone()).collect::<Vec<_>>()
     };
     wait_until("all registered", LIMIT, || (0..3).all(|index| known(index).len() == 3));
+    let begun = Instant::now();
     env.store.down(true);
     env.replace(0);
     env.vm(1).stop();
@@ -206,6 +209,7 @@
     let serve = |what: &str| {
         smol::block_on(async {
             for index in 0..3 {
+                until("it is ready", LIMIT, || env.caller(index).is_ready()).await;
                 let prefix = env.keys(index).await;
                 let job = Job::new(&format!("{what}-{index}"), 4, 1);
                 let key = format!("{prefix}.{what}");
@@ -215,6 +219,14 @@
         });
     };
     serve("outage");
+    let seconds = env::var("GYPSUMKEEL_OUTAGE_SECONDS").map_or(0, |text| text.parse().unwrap());
+    for round in 0.. {
+        if begun.elapsed() >= Duration::from_secs(seconds) {
+            break;
+        }
+        env.replace(round % 3);
+        serve(&format!("outage-{round}"));
+    }
     assert_eq!(known(2).len(), 3, "the outage dropped a VM from the view");
     env.store.down(false);
     let running = (0..3).map(|index| status(&env, index)["incarnation"].clone());
