Run the program as a command in one place of the tests

Four test files spawned it, wrote its input and read its end each by itself; testenv/program.rs does it now.

--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -2,11 +2,12 @@
 
 mod testenv;
 
-use std::io::{BufRead as _, BufReader, Write as _};
+use std::io::{BufRead as _, BufReader};
 use std::process::{Command, Stdio};
 
 use insta::assert_snapshot;
 use rustix::process::{Pid, Signal, kill_process};
+use testenv::program;
 use testenv::store::Store;
 
 /// Command lines that are refused.
@@ -41,20 +42,8 @@
 
 /// Runs the program with `words` and `input`; gives its exit code, output and errors.
 fn run_with(words: &str, input: &str) -> String {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_gypsumkeel"))
-        .args(words.split_whitespace())
-        .stdin(Stdio::piped())
-        .stdout(Stdio::piped())
-        .stderr(Stdio::piped())
-        .spawn()
-        .expect("the program starts");
-    let mut stdin = child.stdin.take().expect("standard input is piped");
-    stdin.write_all(input.as_bytes()).expect("the program reads its input");
-    drop(stdin);
-    let output = child.wait_with_output().expect("the program ends");
-    let code = output.status.code().expect("the program exits by itself");
-    let text = |bytes| String::from_utf8(bytes).expect("the program writes UTF-8");
-    format!("{code}\n{}{}", text(output.stdout), text(output.stderr))
+    let ended = program::run(words.split_whitespace(), input);
+    format!("{}\n{}{}", ended.code, ended.output, ended.errors)
 }
 
 fn run(words: &str) -> String {
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -3,8 +3,6 @@
 mod testenv;
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::io::Write as _;
-use std::process::{Command, Stdio};
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -14,7 +12,7 @@
 use gypsumkeel::config::{self, Change, Head, Holder, Name, Offer, Refusal};
 use gypsumkeel::platform::{self, Consul, Memory, Store as _};
 use testenv::store::Store;
-use testenv::wait_until;
+use testenv::{program, wait_until};
 
 const PREFIX: &str = "gypsumkeel/test";
 const TIMEOUT: Millis = Millis::from_secs(2);
@@ -349,19 +347,10 @@
 /// One run of the operators' tool: its exit code and what it printed.
 fn tool(store: &Store, words: &str, input: &str) -> (i32, String) {
     let url = store.url();
-    let mut child = Command::new(env!("CARGO_BIN_EXE_gypsumkeel"))
-        .args(words.split(' ').take(2))
-        .args(["--store", &url, "--prefix", PREFIX])
-        .args(words.split(' ').skip(2))
-        .stdin(Stdio::piped())
-        .stdout(Stdio::piped())
-        .stderr(Stdio::piped())
-        .spawn()
-        .unwrap();
-    child.stdin.take().unwrap().write_all(input.as_bytes()).unwrap();
-    let output = child.wait_with_output().unwrap();
-    let text = [output.stdout, output.stderr].concat();
-    (output.status.code().unwrap(), String::from_utf8(text).unwrap())
+    let mut words = words.split(' ').collect::<Vec<_>>();
+    words.splice(2..2, ["--store", &url, "--prefix", PREFIX]);
+    let ended = program::run(words, input);
+    (ended.code, ended.output + &ended.errors)
 }
 
 #[test]
--- a/tests/replace.rs
+++ b/tests/replace.rs
@@ -3,34 +3,22 @@
 mod testenv;
 
 use std::collections::HashSet;
-use std::io::Write as _;
 use std::net::SocketAddr;
-use std::process::{Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::thread;
 use std::time::Duration;
 
-use testenv::{Env, Job, Setup, wait_until};
+use testenv::{Env, Job, Setup, program, wait_until};
 
 const LIMIT: Duration = Duration::from_secs(20);
 const CALLERS: usize = 4;
 const TASKS: usize = 2;
 
 /// Runs `gypsumkeel submit` once; gives its exit code and what it said.
-fn submit(entries: &[SocketAddr], job: &Job) -> (Option<i32>, String) {
-    let entries = entries.iter().map(ToString::to_string).collect::<Vec<_>>();
-    let mut child = Command::new(env!("CARGO_BIN_EXE_gypsumkeel"))
-        .args(["submit", "--entry", &entries.join(","), "-"])
-        .stdin(Stdio::piped())
-        .stdout(Stdio::null())
-        .stderr(Stdio::piped())
-        .spawn()
-        .expect("the program starts");
-    let mut stdin = child.stdin.take().expect("standard input is piped");
-    stdin.write_all(job.body.to_string().as_bytes()).expect("the program reads its input");
-    drop(stdin);
-    let output = child.wait_with_output().expect("the program ends");
-    (output.status.code(), String::from_utf8_lossy(&output.stderr).into_owned())
+fn submit(entries: &[SocketAddr], job: &Job) -> (i32, String) {
+    let entries = entries.iter().map(ToString::to_string).collect::<Vec<_>>().join(",");
+    let ended = program::run(["submit", "--entry", &entries, "-"], &job.body.to_string());
+    (ended.code, ended.errors)
 }
 
 #[test]
@@ -48,7 +36,7 @@
                     entries.rotate_left(number % env.len());
                     let job = Job::new(&format!("job-{caller}-{number}"), TASKS, 200);
                     let (code, said) = submit(&entries, &job);
-                    assert_eq!(code, Some(0), "{:?}: {said}", job.ids);
+                    assert_eq!(code, 0, "{:?}: {said}", job.ids);
                 }
             });
         }
--- a/tests/submit.rs
+++ b/tests/submit.rs
@@ -1,12 +1,15 @@
 //! `submit` against entry VMs that answer from a script: exit codes are truthful, and keys are kept or
 //! renewed as at-most-once demands.
 
+mod testenv;
+
 use std::io::{Read as _, Write as _};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::process::{Command, Stdio};
 use std::sync::{Arc, Mutex};
 use std::thread;
 
+use testenv::program;
+
 /// The job that every test submits.
 const JOB: &str = r#"{"service":"holds","tasks":[{"payload":1.50}]}"#;
 
@@ -101,22 +104,10 @@
 /// Submits by `entries` with further `words`; gives the exit code and what was said.
 fn submit(entries: &[SocketAddr], words: &[&str]) -> (i32, String) {
     let entries = entries.iter().map(|entry| format!("http://{entry}")).collect::<Vec<_>>();
-    let mut child = Command::new(env!("CARGO_BIN_EXE_gypsumkeel"))
-        .args(["submit", "--entry", &entries.join(",")])
-        .args(words)
-        .arg("-")
-        .stdin(Stdio::piped())
-        .stdout(Stdio::piped())
-        .stderr(Stdio::piped())
-        .spawn()
-        .expect("the program starts");
-    let mut stdin = child.stdin.take().expect("standard input is piped");
-    stdin.write_all(JOB.as_bytes()).expect("the program reads its input");
-    drop(stdin);
-    let output = child.wait_with_output().expect("the program ends");
-    let said = [output.stdout, output.stderr].concat();
-    let code = output.status.code().expect("the program exits by itself");
-    (code, String::from_utf8(said).expect("the program writes UTF-8"))
+    let entries = entries.join(",");
+    let words = [&["submit", "--entry", &entries], words, &["-"]].concat();
+    let ended = program::run(words, JOB);
+    (ended.code, ended.output + &ended.errors)
 }
 
 fn key(request: &str) -> &str {
--- a/tests/testenv/mod.rs
+++ b/tests/testenv/mod.rs
@@ -6,6 +6,7 @@
 mod caller;
 mod env;
 mod process;
+pub mod program;
 mod proxy;
 pub mod store;
 mod target;
