Move the store's trait, Consul client and memory kin to src/store

The folder platform is to hold the adapter for the users' platform only; the store trait is the product's own.

--- a/benches/cost.rs
+++ b/benches/cost.rs
@@ -16,7 +16,7 @@
 use gypsumkeel::clock::Millis;
 use gypsumkeel::config::operator::{self, Edit};
 use gypsumkeel::http::{Connection, Question};
-use gypsumkeel::platform::Consul;
+use gypsumkeel::store::Consul;
 use hdrhistogram::Histogram;
 use http_types::Method;
 use serde_json::json;
--- a/benches/load.rs
+++ b/benches/load.rs
@@ -15,7 +15,7 @@
 use fastrand::Rng;
 use gypsumkeel::clock::Millis;
 use gypsumkeel::config::operator::{self, Edit};
-use gypsumkeel::platform::Consul;
+use gypsumkeel::store::Consul;
 use hdrhistogram::Histogram;
 use serde_json::{Value, json};
 use smol::Timer;
--- a/src/config/fetch.rs
+++ b/src/config/fetch.rs
@@ -5,7 +5,7 @@
 
 use futures_util::stream::{self, StreamExt as _, TryStreamExt as _};
 
-use crate::platform::{self, Entry, Store};
+use crate::store::{self, Entry, Store};
 
 use super::head::{self, Hash, Head, Reference, key};
 use super::section::Name;
@@ -18,7 +18,7 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Error {
     /// The store gave no answer.
-    Store(platform::Error),
+    Store(store::Error),
     /// The head or a chunk of changes can't be read.
     Unreadable {
         /// The key.
@@ -46,8 +46,8 @@
 
 impl std::error::Error for Error {}
 
-impl From<platform::Error> for Error {
-    fn from(error: platform::Error) -> Self {
+impl From<store::Error> for Error {
+    fn from(error: store::Error) -> Self {
         Self::Store(error)
     }
 }
--- a/src/config/operator.rs
+++ b/src/config/operator.rs
@@ -8,8 +8,8 @@
 
 use crate::audit;
 use crate::clock::{Clock, Millis};
-use crate::platform::{self, Condition, Index, Store};
 use crate::settings::Fault;
+use crate::store::{self, Condition, Index, Store};
 
 use super::fetch;
 use super::head::{Change, Chunk, Hash, Head, Reference, key};
@@ -204,8 +204,8 @@
 }
 
 /// Whether another try may help: all but a call that the store will always refuse.
-const fn is_passing(error: &platform::Error) -> bool {
-    !matches!(error, platform::Error::Refused { status: 400..429, .. })
+const fn is_passing(error: &store::Error) -> bool {
+    !matches!(error, store::Error::Refused { status: 400..429, .. })
 }
 
 struct Attempt<'a> {
@@ -366,9 +366,9 @@
         }
     }
 
-    fn give_up(self, last: Option<platform::Error>) -> Rejection {
+    fn give_up(self, last: Option<store::Error>) -> Rejection {
         let last = last.unwrap_or_else(|| {
-            platform::Error::Unreachable("the head kept moving or lagging".to_owned())
+            store::Error::Unreachable("the head kept moving or lagging".to_owned())
         });
         if self.tried.is_empty() {
             return Rejection::Failed(Error::Store(last));
--- a/src/config/watcher.rs
+++ b/src/config/watcher.rs
@@ -2,7 +2,7 @@
 
 use crate::clock::Millis;
 use crate::event;
-use crate::platform::{Index, Pace, Store};
+use crate::store::{Index, Pace, Store};
 
 use super::fetch;
 use super::head::key;
--- a/src/configure.rs
+++ b/src/configure.rs
@@ -9,7 +9,7 @@
 use crate::config::{Change, Name};
 use crate::exit::{self, Exit};
 use crate::logs::Pairs;
-use crate::platform::Consul;
+use crate::store::Consul;
 
 /// How long one call to the store may take.
 const STORE_TIMEOUT: Millis = Millis::from_secs(2);
--- a/src/membership/claim.rs
+++ b/src/membership/claim.rs
@@ -7,7 +7,7 @@
 
 use crate::clock::Millis;
 use crate::job::Prefix;
-use crate::platform::{self, Condition, Entry, Store};
+use crate::store::{self, Condition, Entry, Store};
 
 /// How often the outcome of a claim whose answer was lost is asked for.
 const ATTEMPTS_MAX: u32 = 3;
@@ -20,7 +20,7 @@
     /// The VM is stopping, and a key claimed for it could never run.
     Stopping,
     /// The store gave no usable answer. Another VM, or this claim itself, may hold the key by now.
-    Store(platform::Error),
+    Store(store::Error),
 }
 
 impl fmt::Display for Error {
@@ -65,7 +65,7 @@
     let key = format!("{prefix}/claims/{}", hash(caller_key));
     let claim = Claim { prefix: own, at: Millis::since_epoch() };
     let value = serde_json::to_vec(&claim).expect("a claim has string keys only");
-    let mut last = platform::Error::Lost("no answer".to_owned());
+    let mut last = store::Error::Lost("no answer".to_owned());
     for _ in 0..ATTEMPTS_MAX {
         match store.put(&key, value.clone(), Condition::Absent).await {
             Ok(true) => return Ok(own),
@@ -90,13 +90,13 @@
 
 async fn read(store: &dyn Store, key: &str) -> Result<Prefix, Error> {
     let entry = store.get(key).await.map_err(Error::Store)?;
-    let gone = || platform::Error::Unreadable("the claim is gone again".to_owned());
+    let gone = || store::Error::Unreadable("the claim is gone again".to_owned());
     parse(&entry.ok_or_else(gone).map_err(Error::Store)?)
 }
 
 fn parse(entry: &Entry) -> Result<Prefix, Error> {
     let claim = serde_json::from_slice::<Claim>(&entry.value);
-    let unreadable = |error: serde_json::Error| platform::Error::Unreadable(error.to_string());
+    let unreadable = |error: serde_json::Error| store::Error::Unreadable(error.to_string());
     claim.map(|claim| claim.prefix).map_err(unreadable).map_err(Error::Store)
 }
 
--- a/src/membership/closed.rs
+++ b/src/membership/closed.rs
@@ -10,7 +10,7 @@
 use crate::clock::Millis;
 use crate::event;
 use crate::job::{Closing, Incarnation, Key, Mark};
-use crate::platform::{Error, Store};
+use crate::store::{Error, Store};
 
 /// How many keys a chunk holds.
 const CHUNK_KEYS: usize = 24_000;
--- a/src/membership/follow.rs
+++ b/src/membership/follow.rs
@@ -4,7 +4,7 @@
 
 use crate::clock::{Clock, Millis};
 use crate::event;
-use crate::platform::{Entry, Error, Index, Pace, Read, Store, Vm};
+use crate::store::{Entry, Error, Index, Pace, Read, Store, Vm};
 
 use super::view::{Listed, Registration, Version, View};
 use super::{Membership, lease};
--- a/src/membership/lease.rs
+++ b/src/membership/lease.rs
@@ -5,8 +5,8 @@
 
 use crate::clock::Millis;
 use crate::event;
-use crate::platform::{Error, Store};
 use crate::settings::Lease;
+use crate::store::{Error, Store};
 
 use super::Membership;
 
--- a/src/membership/view.rs
+++ b/src/membership/view.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::job::Incarnation;
-use crate::platform::Index;
+use crate::store::Index;
 
 /// What a VM tells of itself.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
--- a/src/serve/dev.rs
+++ b/src/serve/dev.rs
@@ -11,9 +11,9 @@
 use crate::event;
 use crate::http::server;
 use crate::invariant;
-use crate::platform::Memory;
 use crate::runtime;
 use crate::settings::Settings;
+use crate::store::Memory;
 
 use super::start::{Error, listen, start};
 use super::stop;
--- a/src/serve/node.rs
+++ b/src/serve/node.rs
@@ -19,9 +19,9 @@
 use crate::membership::claim::Budget;
 use crate::metrics::{self, Metrics};
 use crate::peer::{Handler, Link, Links};
-use crate::platform::Store;
 use crate::runtime;
 use crate::settings::Settings;
+use crate::store::Store;
 use crate::target::{self, Pools};
 use crate::wire::{Call, Note, Reply, Seen};
 
--- a/src/serve/start.rs
+++ b/src/serve/start.rs
@@ -16,9 +16,9 @@
 use crate::job::Incarnation;
 use crate::membership::{self, Membership, Registration};
 use crate::peer::{Handler, Links, Rules};
-use crate::platform::{Consul, Store, WATCH_WAIT};
 use crate::runtime;
 use crate::settings::Settings;
+use crate::store::{Consul, Store, WATCH_WAIT};
 use crate::wire::{Hello, VERSION};
 
 use super::meter;
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -10,7 +10,7 @@
 use gypsumkeel::clock::{Clock, Millis};
 use gypsumkeel::config::operator::{self, Edit, Place, Rejection, Section};
 use gypsumkeel::config::{self, Change, Head, Holder, Name, Offer, Refusal};
-use gypsumkeel::platform::{self, Consul, Memory, Store as _};
+use gypsumkeel::store::{self, Consul, Memory, Store as _};
 use testenv::store::Store;
 use testenv::{program, wait_until};
 
@@ -71,7 +71,7 @@
 }
 
 /// A VM's reader, on a thread that lasts as long as the test.
-fn reader<S: platform::Store + 'static>(store: Arc<S>) -> Arc<Holder> {
+fn reader<S: store::Store + 'static>(store: Arc<S>) -> Arc<Holder> {
     let holder = Arc::new(Holder::default());
     let theirs = Arc::clone(&holder);
     thread::spawn(move || {
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -15,8 +15,8 @@
     self, Epochs, Listed, Membership, Registration, Version, View, keep_lease, watch_list,
     watch_members,
 };
-use gypsumkeel::platform::Consul;
 use gypsumkeel::settings::Lease;
+use gypsumkeel::store::Consul;
 use smol::future;
 use testenv::store::{Rates, Store, TARGETS};
 use testenv::wait_until;
--- a/tests/platform.rs
+++ b/tests/store.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use gypsumkeel::clock::Millis;
-use gypsumkeel::platform::{Condition, Consul, Error, Store as _, Vm};
+use gypsumkeel::store::{Condition, Consul, Error, Store as _, Vm};
 use smol::future::FutureExt as _;
 use testenv::store::{Rates, Store, TARGETS};
 
--- a/tests/testenv/store.rs
+++ b/tests/testenv/store.rs
@@ -10,7 +10,7 @@
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
 use gypsumkeel::clock::{Clock, Millis};
-use gypsumkeel::platform::{Condition, Entry, Memory, Read, Store as _, Vm};
+use gypsumkeel::store::{Condition, Entry, Memory, Read, Store as _, Vm};
 use http_types::{Method, Request, Response};
 use serde_json::{Value, json};
 use smol::channel::{self, Sender};
