--- a/src/cli/help.rs
+++ b/src/cli/help.rs
@@ -11,6 +11,8 @@
     Main,
     /// `serve`
     Serve,
+    /// `platform`
+    Platform,
     /// `dev`
     Dev,
     /// `submit`
@@ -36,8 +38,15 @@
 
 impl Topic {
     /// All commands, in the order in which help lists them.
-    const COMMANDS: [Self; 6] =
-        [Self::Serve, Self::Dev, Self::Submit, Self::Check, Self::Config, Self::Status];
+    const COMMANDS: [Self; 7] = [
+        Self::Serve,
+        Self::Platform,
+        Self::Dev,
+        Self::Submit,
+        Self::Check,
+        Self::Config,
+        Self::Status,
+    ];
 
     /// The command that `word` names.
     pub fn of_word(word: &OsStr) -> Result<Self, Error> {
@@ -50,6 +59,7 @@
         match self {
             Self::Main => "gypsumkeel",
             Self::Serve => "serve",
+            Self::Platform => "platform",
             Self::Dev => "dev",
             Self::Submit => "submit",
             Self::Check => "check",
@@ -68,6 +78,7 @@
         let (options, flags, words_max): (&[_], &[_], _) = match self {
             Self::Main => (&[], &[], 0),
             Self::Serve => (&["settings"], &[], 0),
+            Self::Platform => (&[], &[], 0),
             Self::Dev => (&["targets"], &[], 0),
             Self::Submit => (&["entry", "key", "timeout"], &["repeatable"], 1),
             Self::Check => (&[], &[], 1),
@@ -82,6 +93,7 @@
         match self {
             Self::Main => MAIN,
             Self::Serve => SERVE,
+            Self::Platform => PLATFORM,
             Self::Dev => DEV,
             Self::Submit => SUBMIT,
             Self::Check => CHECK,
@@ -97,12 +109,13 @@
 Usage: gypsumkeel COMMAND [OPTIONS]
 
 Commands:
-  serve   Run an entry VM
-  dev     Run everything in one process, to try it out
-  submit  Submit one job and wait for its answer
-  check   Check a settings or configuration file
-  config  Read or change the configuration
-  status  Ask an entry VM how it is
+  serve     Run an entry VM
+  platform  Run an entry VM on the users' platform
+  dev       Run everything in one process, to try it out
+  submit    Submit one job and wait for its answer
+  check     Check a settings or configuration file
+  config    Read or change the configuration
+  status    Ask an entry VM how it is
 
 Options:
   -h, --help     Print help; after a command, help on it
@@ -127,6 +140,14 @@
 Prints a line `event=listening … callers=IP:PORT peers=IP:PORT` to standard output when it is ready.
 ";
 
+const PLATFORM: &str = "\
+Run an entry VM on the users' platform until SIGTERM or SIGINT, which stop it without cutting a job in flight.
+
+Usage: gypsumkeel platform
+
+The platform writes the settings, names their file in the environment, and reads the logs from standard output.
+";
+
 const DEV: &str = "\
 Run an entry VM with a store in memory and built-in targets that echo, all in one process.
 
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -45,6 +45,8 @@
         /// The settings file.
         settings: PathBuf,
     },
+    /// Run an entry VM on the users' platform.
+    Platform,
     /// Run the embedded default.
     Dev {
         /// How many built-in targets to run.
@@ -146,6 +148,7 @@
     }
     match topic {
         Topic::Main => Ok(Command::Help(topic)),
+        Topic::Platform => Ok(Command::Platform),
         Topic::Serve => Ok(Command::Serve { settings: words.required("settings")?.into() }),
         Topic::Dev => dev(&words),
         Topic::Submit => submit(&words),
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -8,6 +8,7 @@
 use std::task::{Context, Poll};
 
 use async_h1::server::{ConnectionStatus, Server};
+use event_listener::Event;
 use http_types::{Request, Response};
 use smol::Timer;
 use smol::future::FutureExt as _;
@@ -23,6 +24,9 @@
 /// Bytes that the head of a request and its framing may take beyond the body.
 const HEAD_MAX_BYTES: u64 = 64 << 10;
 
+/// How often a connection with unread bytes is looked at for its end.
+const HANG_UP_PAUSE: Millis = Millis(50);
+
 /// What a caller may do.
 #[derive(Clone, Copy, Debug)]
 pub struct Rules {
@@ -110,20 +114,28 @@
     handler: Arc<dyn Handler>,
 ) {
     let asked = Arc::new(AtomicBool::new(false));
+    let closing = Arc::new(AtomicBool::new(false));
     let refused = Arc::new(AtomicBool::new(false));
     let metered = Metered { stream: stream.clone(), left: Arc::new(AtomicU64::new(0)) };
+    let begun = Arc::new(Event::new());
     let endpoint = {
         let asked = Arc::clone(&asked);
         let refused = Arc::clone(&refused);
+        let closing = Arc::clone(&closing);
+        let begun = Arc::clone(&begun);
         let handler = Arc::clone(&handler);
         let traffic = Arc::clone(traffic);
         move |request| {
             asked.store(true, Ordering::Relaxed);
+            begun.notify(1);
             traffic.busy.fetch_add(1, Ordering::Relaxed);
             let answer = Arc::clone(&handler).answer(request);
             let refused = Arc::clone(&refused);
+            let closing = Arc::clone(&closing);
             async move {
                 let response = answer.await;
+                let close = response.header("Connection").is_some_and(|value| value == "close");
+                closing.store(close, Ordering::Relaxed);
                 refused.store(!response.status().is_success(), Ordering::Relaxed);
                 Ok(response)
             }
@@ -139,13 +151,19 @@
             give_up(rules.head_timeout, &asked, &refused).await;
             Ok(ConnectionStatus::Close)
         };
-        let end = server.accept_one().or(late).await;
+        let has_begun = begun.listen();
+        let gone = async {
+            has_begun.await;
+            hang_up(&stream).await;
+            Ok(ConnectionStatus::Close)
+        };
+        let end = server.accept_one().or(late).or(gone).await;
         if asked.load(Ordering::Relaxed) {
             traffic.busy.fetch_sub(1, Ordering::Relaxed);
         }
         match end {
-            Ok(ConnectionStatus::KeepAlive) => {}
-            Ok(ConnectionStatus::Close) => break,
+            Ok(ConnectionStatus::KeepAlive) if !closing.load(Ordering::Relaxed) => {}
+            Ok(ConnectionStatus::Close | ConnectionStatus::KeepAlive) => break,
             Err(error) => {
                 if !asked.load(Ordering::Relaxed) {
                     refuse(stream, &error).await;
@@ -157,6 +175,15 @@
     drop(stream.shutdown(std::net::Shutdown::Write));
 }
 
+/// Ends when the caller closes the connection while its request is answered: nobody waits for the answer.
+async fn hang_up(stream: &TcpStream) {
+    let mut byte = [0];
+    // What there is to read is the rest of the body or the next request; the end comes after that.
+    while stream.peek(&mut byte).await.is_ok_and(|bytes| bytes > 0) {
+        Timer::after(HANG_UP_PAUSE.duration()).await;
+    }
+}
+
 /// Ends when no head has arrived in time, or when a refusal was written that long ago and the library still
 /// waits for the rest of a body that nobody reads.
 async fn give_up(limit: Millis, asked: &AtomicBool, refused: &AtomicBool) {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,6 +1,7 @@
 //! A dispatcher for jobs of sub-second tasks.
 
 pub mod audit;
+pub mod batch;
 pub mod check;
 pub mod cli;
 pub mod client;
@@ -15,10 +16,15 @@
 pub mod logs;
 pub mod membership;
 pub mod metrics;
+pub mod ownership;
 pub mod peer;
+pub mod platform;
+pub mod route;
 pub mod runtime;
+pub mod schedule;
 pub mod serve;
 pub mod settings;
 pub mod store;
 pub mod target;
+pub mod vm;
 pub mod wire;
--- a/src/logs.rs
+++ b/src/logs.rs
@@ -4,12 +4,19 @@
 use std::fs::OpenOptions;
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc;
+use std::thread;
 use std::time::SystemTime;
 
 use log::{LevelFilter, Record};
 
 use crate::settings::{Level, Log};
 
+/// Lines that may wait for standard output to take them.
+const LINES_MAX: usize = 2048;
+
 /// Logs one event: a level, its name, and its pairs.
 ///
 /// ```
@@ -62,6 +69,8 @@
 pub enum Error {
     /// The log file can't be opened.
     Open(PathBuf, io::Error),
+    /// The thread that writes them can't be started.
+    Thread(io::Error),
     /// Logs were set up before in this process.
     Twice,
 }
@@ -72,6 +81,9 @@
             Self::Open(path, error) => {
                 write!(f, "{}: {error}; give a writable path in log.file", path.display())
             }
+            Self::Thread(error) => {
+                write!(f, "no thread for the logs: {error}; raise the system's limits")
+            }
             Self::Twice => write!(f, "logs are set up already; set them up once"),
         }
     }
@@ -94,6 +106,39 @@
         .map_err(|_| Error::Twice)
 }
 
+/// Sends all log lines of the process to standard output, without ever waiting for who reads it: lines that
+/// find no room are left out, and their number is told later.
+pub fn start_on_output(level: Level) -> Result<(), Error> {
+    let (sender, lines) = mpsc::sync_channel::<String>(LINES_MAX);
+    let omitted = Arc::new(AtomicU64::new(0));
+    let counted = Arc::clone(&omitted);
+    let send = move |record: &Record<'_>| {
+        if sender.try_send(line(record.args(), record)).is_err() {
+            omitted.fetch_add(1, Ordering::Relaxed);
+        }
+    };
+    let write = move || {
+        let mut output = io::stdout();
+        for line in lines {
+            let omitted = counted.swap(0, Ordering::Relaxed);
+            let written = match omitted {
+                0 => writeln!(output, "{line}"),
+                _ => writeln!(output, "{line}\nevent=lines-omitted count={omitted}"),
+            };
+            // Nobody reads any longer: nothing is left to tell it to.
+            if written.is_err() {
+                return;
+            }
+        }
+    };
+    thread::Builder::new().name("logs".to_owned()).spawn(write).map_err(Error::Thread)?;
+    fern::Dispatch::new()
+        .level(level.into())
+        .chain(fern::Output::call(send))
+        .apply()
+        .map_err(|_| Error::Twice)
+}
+
 impl From<Level> for LevelFilter {
     fn from(level: Level) -> Self {
         match level {
--- a/src/main.rs
+++ b/src/main.rs
@@ -6,8 +6,8 @@
 use gypsumkeel::cli::{self, Command, Input};
 use gypsumkeel::client::{status, submit};
 use gypsumkeel::exit::{self, Exit};
-use gypsumkeel::settings::{Log, Settings};
-use gypsumkeel::{check, configure, logs, serve};
+use gypsumkeel::settings::{Level, Log, Settings};
+use gypsumkeel::{check, configure, logs, platform, serve};
 
 fn main() -> Exit {
     match cli::parse(env::args_os().skip(1)) {
@@ -21,6 +21,7 @@
         Command::Help(topic) => exit::print(topic.text()),
         Command::Version => exit::print(concat!("gypsumkeel ", env!("CARGO_PKG_VERSION"), "\n")),
         Command::Serve { settings } => run_vm(&settings),
+        Command::Platform => run_on_platform(),
         Command::Dev { targets } => run_logged(&Log::default(), || serve::dev(targets)),
         Command::Check { file } => check::run(&file),
         Command::Submit(words) => submit::run(&words),
@@ -45,6 +46,17 @@
     }
 }
 
+fn run_on_platform() -> Exit {
+    if let Err(error) = logs::start_on_output(Level::Info) {
+        return Exit::Failed.because(error);
+    }
+    match platform::run() {
+        Ok(()) => Exit::Done,
+        Err(error @ platform::Error::Settings(_)) => Exit::Usage.because(error),
+        Err(error) => Exit::Failed.because(error),
+    }
+}
+
 /// Runs a VM to its end, with its logs where `log` says.
 fn run_logged(log: &Log, vm: impl FnOnce() -> Result<(), serve::Error>) -> Exit {
     if let Err(error) = logs::start(log) {
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -3,6 +3,7 @@
 mod histogram;
 mod names;
 
+use std::fmt::Write as _;
 use std::io;
 use std::mem;
 use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
@@ -21,13 +22,23 @@
 const SEND_EVERY: Millis = Millis::from_secs(1);
 
 /// All metrics of a process. Changing one costs an atomic addition.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Metrics {
     counters: [AtomicU64; Counter::ALL.len()],
     gauges: [AtomicU64; Gauge::ALL.len()],
     timers: [Histogram; Timer::ALL.len()],
 }
 
+impl Default for Metrics {
+    fn default() -> Self {
+        Self {
+            counters: [const { AtomicU64::new(0) }; Counter::ALL.len()],
+            gauges: [const { AtomicU64::new(0) }; Gauge::ALL.len()],
+            timers: [const { Histogram::new() }; Timer::ALL.len()],
+        }
+    }
+}
+
 impl Metrics {
     /// Counts one event.
     pub fn count(&self, counter: Counter) {
@@ -59,6 +70,27 @@
         self.counters[counter as usize].load(Ordering::Relaxed)
     }
 
+    /// All metrics as text, one a line: its name, a space, its value. Times are in milliseconds and tell of
+    /// the time since the last reading.
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        for &counter in Counter::ALL {
+            let _ = writeln!(text, "{} {}", counter.name(), self.total(counter));
+        }
+        for &gauge in Gauge::ALL {
+            let _ = writeln!(text, "{} {}", gauge.name(), self.level(gauge));
+        }
+        for &timer in Timer::ALL {
+            let Summary { count, p50, p99, max } = self.timers[timer as usize].take();
+            let name = timer.name();
+            let _ = writeln!(text, "{name}.count {count}");
+            let _ = writeln!(text, "{name}.p50 {}", p50.0);
+            let _ = writeln!(text, "{name}.p99 {}", p99.0);
+            let _ = writeln!(text, "{name}.max {}", max.0);
+        }
+        text
+    }
+
     /// A level as it was last set.
     pub fn level(&self, gauge: Gauge) -> u64 {
         self.gauges[gauge as usize].load(Ordering::Relaxed)
--- a/src/metrics/names.rs
+++ b/src/metrics/names.rs
@@ -78,6 +78,32 @@
         ConfigStale = "config.stale",
         /// News of the configuration that could not be taken.
         ConfigRefused = "config.refused",
+        /// Batches of which every task is done.
+        BatchesDone = "batches.done",
+        /// Batches with a task that failed as often as its queue allows.
+        BatchesFailed = "batches.failed",
+        /// Batches whose time ran out after tasks had been started.
+        BatchesExpired = "batches.expired",
+        /// Batches that were refused with nothing started.
+        BatchesRefused = "batches.refused",
+        /// Batches whose caller left before their end.
+        BatchesAbandoned = "batches.abandoned",
+        /// Starts sent to leased targets.
+        LeasedStarts = "leased.starts",
+        /// Stops sent to leased targets.
+        LeasedStops = "leased.stops",
+        /// Renewals of leases that were sent.
+        LeasedHolds = "leased.holds",
+        /// Calls to leased targets without an answer.
+        LeasedLost = "leased.lost",
+        /// Calls that leased targets refused.
+        LeasedDenied = "leased.denied",
+        /// Leased targets that this VM took over.
+        TargetsTaken = "targets.taken",
+        /// Leased targets that another VM took from this one.
+        TargetsFenced = "targets.fenced",
+        /// Leased targets that this VM released or that are gone.
+        TargetsLeft = "targets.left",
     }
 }
 
@@ -104,6 +130,14 @@
         ConfigVersion = "config.version",
         /// 1 while the VM drains, else 0.
         Draining = "draining",
+        /// The version of the routes in force.
+        RoutesVersion = "routes.version",
+        /// Leased targets that this VM owns.
+        TargetsOwned = "targets.owned",
+        /// Thousandths of cores of the owned targets that are free.
+        CpuFree = "targets.cpu_free",
+        /// Milliseconds that all owned targets together need for what waits.
+        Backlog = "batches.backlog",
     }
 }
 
@@ -114,5 +148,7 @@
         JobTime = "jobs.time",
         /// From the start of an attempt to its end.
         TaskTime = "tasks.time",
+        /// From the arrival of a batch at this VM to its answer.
+        Batch = "batches.time",
     }
 }
--- /dev/null
+++ b/src/ownership/mod.rs
@@ -0,0 +1,243 @@
+//! Which VM owns which targets: who takes one that has no owner, and when.
+//!
+//! A wrong view costs a duel, which the target's fencing token settles, and never a second owner. So the rules
+//! here are about availability alone: an owner that is alive keeps what it has, and what has no owner is taken
+//! by the VM that all would choose.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use crate::clock::Millis;
+use crate::job::Incarnation;
+
+/// The most targets of a failure domain for one owner, where the domain has VMs enough. One scheduler that
+/// sees many targets packs better than many that see few; a quarter of a core carries this many.
+const TARGETS_PER_OWNER: usize = 24;
+
+/// How long a registered VM without a link may keep others from taking targets, just after a start.
+const HELLO_MAX: Millis = Millis(300);
+
+/// How long a failure domain must have no VM until those of others take its targets.
+const DOMAIN_EMPTY_MIN: Millis = Millis(1500);
+
+/// The pause before a target that another VM took may be taken back.
+const RETAKE_AFTER: Millis = Millis(1500);
+
+/// Another VM.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Peer {
+    /// Its name, which decides with others' what it should own.
+    pub vm: Arc<str>,
+    /// Its failure domain.
+    pub domain: Arc<str>,
+    /// Whether the store lists it.
+    pub registered: bool,
+    /// Whether its link is up.
+    pub linked: bool,
+    /// Whether it is being stopped.
+    pub draining: bool,
+    /// Whether nothing listens at its address any longer.
+    pub refused: bool,
+    /// Whether it said so itself, which the store may not show yet.
+    pub says_draining: bool,
+    /// What it says that it owns; `None` until it has said anything.
+    pub owns: Option<BTreeSet<Arc<str>>>,
+    /// When it was heard of first.
+    pub known_since: Millis,
+}
+
+impl Peer {
+    /// Whether it may still act as an owner: its link is up, or the store still lists it.
+    pub const fn is_alive(&self) -> bool {
+        self.linked || (self.registered && !self.refused)
+    }
+}
+
+/// A target, as far as its owner matters.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Place {
+    /// Its failure domain.
+    pub domain: Arc<str>,
+    /// Whether it may be taken: it is listed and does not leave.
+    pub wanted: bool,
+}
+
+/// This VM's view of who owns what.
+#[derive(Debug)]
+pub struct Ownership {
+    vm: Arc<str>,
+    domain: Arc<str>,
+    peers: BTreeMap<Incarnation, Peer>,
+    targets: BTreeMap<Arc<str>, Place>,
+    own: BTreeSet<Arc<str>>,
+    lost_at: BTreeMap<Arc<str>, Millis>,
+    /// Since when a domain has had no VM that is alive.
+    empty_since: BTreeMap<Arc<str>, Millis>,
+    draining: bool,
+}
+
+impl Ownership {
+    /// The view of the VM `vm` in `domain`, which knows of nothing yet.
+    pub fn new(vm: &str, domain: &str) -> Self {
+        Self {
+            vm: Arc::from(vm),
+            domain: Arc::from(domain),
+            peers: BTreeMap::new(),
+            targets: BTreeMap::new(),
+            own: BTreeSet::new(),
+            lost_at: BTreeMap::new(),
+            empty_since: BTreeMap::new(),
+            draining: false,
+        }
+    }
+
+    /// Replaces what is known of the other VMs. What they own stays known.
+    pub fn set_peers(&mut self, now: Millis, peers: impl IntoIterator<Item = (Incarnation, Peer)>) {
+        let mut old = std::mem::take(&mut self.peers);
+        for (id, mut peer) in peers {
+            let known = old.remove(&id);
+            peer.known_since = known.as_ref().map_or(now, |known| known.known_since);
+            peer.says_draining = known.as_ref().is_some_and(|known| known.says_draining);
+            peer.draining |= peer.says_draining;
+            peer.owns = known.and_then(|known| known.owns);
+            self.peers.insert(id, peer);
+        }
+    }
+
+    /// Replaces the targets.
+    pub fn set_targets(&mut self, targets: BTreeMap<Arc<str>, Place>) {
+        self.targets = targets;
+    }
+
+    /// Notes what another VM says that it owns.
+    pub fn tell(&mut self, from: Incarnation, owns: BTreeSet<Arc<str>>) {
+        if let Some(peer) = self.peers.get_mut(&from) {
+            peer.owns = Some(owns);
+        }
+    }
+
+    /// Notes whether another VM says that it is being stopped.
+    pub fn tell_draining(&mut self, from: Incarnation, draining: bool) {
+        if let Some(peer) = self.peers.get_mut(&from) {
+            peer.draining |= draining;
+            peer.says_draining = draining;
+        }
+    }
+
+    /// Notes that this VM owns a target.
+    pub fn gain(&mut self, target: &Arc<str>) {
+        self.own.insert(Arc::clone(target));
+    }
+
+    /// Notes that this VM owns a target no longer.
+    pub fn lose(&mut self, now: Millis, target: &Arc<str>, to_another: bool) {
+        self.own.remove(target);
+        if to_another {
+            self.lost_at.insert(Arc::clone(target), now);
+        }
+    }
+
+    /// Takes nothing any more.
+    pub fn drain(&mut self) {
+        self.draining = true;
+    }
+
+    /// What this VM owns.
+    pub const fn own(&self) -> &BTreeSet<Arc<str>> {
+        &self.own
+    }
+
+    /// The VM that owns a target, if it is another and alive.
+    pub fn owner(&self, target: &str) -> Option<Incarnation> {
+        let owns = |peer: &Peer| peer.owns.as_ref().is_some_and(|owns| owns.contains(target));
+        let mut owners = self.peers.iter().filter(|(_, peer)| peer.is_alive() && owns(peer));
+        owners.next().map(|(&id, _)| id)
+    }
+
+    /// The VMs that are alive.
+    pub fn alive(&self) -> impl Iterator<Item = (Incarnation, &Peer)> {
+        self.peers.iter().filter(|(_, peer)| peer.is_alive()).map(|(&id, peer)| (id, peer))
+    }
+
+    /// The targets that this VM is to take now.
+    pub fn to_take(&mut self, now: Millis) -> Vec<Arc<str>> {
+        if self.draining {
+            return Vec::new();
+        }
+        self.note_empty(now);
+        let domains = self.targets.values().map(|place| Arc::clone(&place.domain));
+        let domains = domains.collect::<BTreeSet<_>>();
+        domains.iter().flat_map(|domain| self.to_take_in(now, domain)).collect()
+    }
+
+    fn note_empty(&mut self, now: Millis) {
+        let alive = self.alive().map(|(_, peer)| Arc::clone(&peer.domain));
+        let mut alive = alive.collect::<BTreeSet<_>>();
+        alive.insert(Arc::clone(&self.domain));
+        self.empty_since.retain(|domain, _| !alive.contains(domain));
+        for place in self.targets.values() {
+            if !alive.contains(&place.domain) && !self.empty_since.contains_key(&place.domain) {
+                self.empty_since.insert(Arc::clone(&place.domain), now);
+            }
+        }
+    }
+
+    fn to_take_in(&self, now: Millis, domain: &Arc<str>) -> Vec<Arc<str>> {
+        let is_foreign = *domain != self.domain;
+        let empty_for = self.empty_since.get(domain).map(|&since| now - since);
+        if is_foreign && empty_for.is_none_or(|empty| empty < DOMAIN_EMPTY_MIN) {
+            return Vec::new();
+        }
+        if !is_foreign && self.is_greeting(now) {
+            return Vec::new();
+        }
+        let in_domain = |place: &Place| place.domain == *domain;
+        let count = self.targets.values().filter(|place| in_domain(place)).count();
+        let owners = self.owners(domain, is_foreign, count.div_ceil(TARGETS_PER_OWNER));
+        let mut taken = Vec::new();
+        for (id, place) in &self.targets {
+            let may_take = place.wanted && in_domain(place) && !self.own.contains(id);
+            let lost = self.lost_at.get(id).is_some_and(|&at| now - at < RETAKE_AFTER);
+            if may_take && !lost && self.owner(id).is_none() && self.is_chosen(id, &owners) {
+                taken.push(Arc::clone(id));
+            }
+        }
+        taken
+    }
+
+    /// Whether a VM of the own domain has not said yet what it owns.
+    fn is_greeting(&self, now: Millis) -> bool {
+        self.alive().any(|(_, peer)| {
+            let is_silent = peer.owns.is_none() && now - peer.known_since < HELLO_MAX;
+            peer.domain == self.domain && !peer.draining && is_silent
+        })
+    }
+
+    /// The VMs that should own the targets of a domain: `count` of its own, or of all where it has none.
+    fn owners(&self, domain: &str, is_foreign: bool, count: usize) -> Vec<Arc<str>> {
+        let usable = self.alive().filter(|(_, peer)| !peer.draining);
+        let usable = usable.filter(|(_, peer)| is_foreign || *peer.domain == *domain);
+        let mut vms = usable.map(|(_, peer)| Arc::clone(&peer.vm)).collect::<Vec<_>>();
+        vms.push(Arc::clone(&self.vm));
+        vms.sort_by_key(|vm| (std::cmp::Reverse(weight(domain, vm)), Arc::clone(vm)));
+        vms.dedup();
+        vms.truncate(count.max(1));
+        vms
+    }
+
+    /// Whether this VM is the one of `owners` for a target.
+    fn is_chosen(&self, target: &str, owners: &[Arc<str>]) -> bool {
+        let chosen = owners.iter().max_by_key(|vm| weight(target, vm));
+        chosen.is_some_and(|vm| *vm == self.vm)
+    }
+}
+
+/// The weight of a pair in rendezvous hashing (FNV-1a, finished by a multiplication that mixes the high bits).
+fn weight(key: &str, vm: &str) -> u64 {
+    let mut hash = 0xcbf2_9ce4_8422_2325_u64;
+    for byte in key.bytes().chain([0]).chain(vm.bytes()) {
+        hash = (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+    }
+    hash = (hash ^ (hash >> 32)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    hash ^ (hash >> 29)
+}
--- a/src/peer/links.rs
+++ b/src/peer/links.rs
@@ -63,6 +63,12 @@
     /// A link to a VM has come up: what it has and this VM lacks is to be asked for.
     fn met(self: Arc<Self>, link: Arc<Link>);
 
+    /// The link over which a VM asked has ended; what it asked for may be given up.
+    fn left(&self, _from: Incarnation) {}
+
+    /// Nothing listens at the address: the process that did has ended.
+    fn refused(&self, _address: SocketAddr) {}
+
     /// Whether there should be a VM at the address, so that it is dialled for as long as that is so.
     fn expects(&self, address: SocketAddr) -> bool;
 }
@@ -173,7 +179,9 @@
                 serve_frame(&hello, frame, &queue, &owed, handler)?;
             }
         };
-        incoming.or(sink.drain(&frames, &owed)).await
+        let ended = incoming.or(sink.drain(&frames, &owed)).await;
+        handler.left(hello.incarnation);
+        ended
     }
 
     /// Dials again and again; ends when the address is given up.
@@ -190,6 +198,9 @@
                 }
                 Err(why) => {
                     event!(debug, "dial-failed", peer = address, reason = why);
+                    if why.is_refusal() {
+                        handler.refused(address);
+                    }
                     failures += 1;
                 }
             }
@@ -204,7 +215,7 @@
         let patience = self.rules.patience;
         let connect = async {
             let stream = TcpStream::connect(address).await;
-            stream.map_err(|error| Broken::because(error.to_string()))
+            stream.map_err(|error| Broken::of_dial(&error))
         };
         let stream = within(patience, connect).await?;
         drop(stream.set_nodelay(true));
--- a/src/peer/socket.rs
+++ b/src/peer/socket.rs
@@ -1,6 +1,7 @@
 //! A WebSocket that carries frames, split into its two directions.
 
 use std::fmt;
+use std::io;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
@@ -32,11 +33,14 @@
 
 /// Why a link can't go on.
 #[derive(Clone, Debug)]
-pub struct Broken(String);
+pub struct Broken {
+    reason: String,
+    is_refusal: bool,
+}
 
 impl fmt::Display for Broken {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}; the link is made anew", self.0)
+        write!(f, "{}; the link is made anew", self.reason)
     }
 }
 
@@ -45,12 +49,23 @@
 impl Broken {
     /// For a reason of the caller's own.
     pub fn because(reason: impl Into<String>) -> Self {
-        Self(reason.into())
+        Self { reason: reason.into(), is_refusal: false }
+    }
+
+    /// For a connection that could not be made.
+    pub fn of_dial(error: &io::Error) -> Self {
+        let is_refusal = error.kind() == io::ErrorKind::ConnectionRefused;
+        Self { reason: error.to_string(), is_refusal }
+    }
+
+    /// Whether nothing listens at the other end.
+    pub const fn is_refusal(&self) -> bool {
+        self.is_refusal
     }
 }
 
 fn broken(error: impl fmt::Display) -> Broken {
-    Broken(error.to_string())
+    Broken::because(error.to_string())
 }
 
 fn config() -> WebSocketConfig {
@@ -90,7 +105,10 @@
                 Message::Binary(bytes) => return Frame::decode(&bytes).map_err(broken),
                 Message::Ping(_) | Message::Pong(_) => {}
                 other => {
-                    return Err(Broken(format!("unexpected message of {} bytes", other.len())));
+                    return Err(Broken::because(format!(
+                        "unexpected message of {} bytes",
+                        other.len()
+                    )));
                 }
             }
         }
--- /dev/null
+++ b/src/platform/configuration.rs
@@ -0,0 +1,82 @@
+//! The operator's configuration, as it lies in the store.
+
+use std::sync::Arc;
+
+use serde::Deserialize;
+
+use crate::batch::Terms;
+use crate::clock::Millis;
+use crate::route::{Route, Table};
+
+/// The stretch of a queue that names none.
+const STRETCH: f64 = 1.0;
+
+#[derive(Debug, Deserialize)]
+struct Document {
+    version: u64,
+    #[serde(default)]
+    routes: Vec<Entry>,
+    #[serde(default)]
+    limits: Limits,
+}
+
+/// A route, which is a queue.
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Entry {
+    name: String,
+    host: String,
+    prefix: String,
+    service: String,
+    #[serde(default)]
+    timeout_ms: Millis,
+    /// What a job may take beyond its stretched chain of work, though the name speaks of an objective.
+    #[serde(default)]
+    slo_ms: Millis,
+    #[serde(default)]
+    priority: u32,
+    #[serde(default = "one")]
+    attempts: u32,
+    stretch: Option<f64>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Limits {
+    max_body_bytes: u64,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self { max_body_bytes: 256 << 10 }
+    }
+}
+
+const fn one() -> u32 {
+    1
+}
+
+/// Reads a configuration.
+pub fn decode(text: &[u8]) -> Result<Table, serde_json::Error> {
+    let document = serde_json::from_slice::<Document>(text)?;
+    let routes = document.routes.into_iter().map(Route::from);
+    Ok(Table::new(document.version, document.limits.max_body_bytes, routes))
+}
+
+impl From<Entry> for Route {
+    fn from(entry: Entry) -> Self {
+        Self {
+            name: Arc::from(entry.name),
+            host: entry.host,
+            prefix: entry.prefix,
+            service: Arc::from(entry.service),
+            terms: Terms {
+                priority: entry.priority,
+                attempts: entry.attempts.max(1),
+                stretch: entry.stretch.unwrap_or(STRETCH),
+                allowance: entry.slo_ms,
+            },
+            timeout: entry.timeout_ms,
+        }
+    }
+}
--- /dev/null
+++ b/src/platform/front.rs
@@ -0,0 +1,199 @@
+//! The HTTP servers of a VM: for callers, for the platform's question whether it is ready, and for metrics.
+
+use std::pin::Pin;
+use std::sync::Arc;
+
+use http_types::{Method, Request, Response, StatusCode};
+use serde_json::json;
+
+use crate::batch::Outcome;
+use crate::clock::Millis;
+use crate::event;
+use crate::http::read_body;
+use crate::http::server::Handler;
+use crate::route::{Route, Table};
+use crate::vm::{Node, Wait};
+
+use super::request;
+
+/// How long the body of a request may take to arrive.
+const BODY_TIMEOUT: Millis = Millis::from_secs(5);
+
+/// How long a caller waits that names no time, on a route that names none.
+const PATIENCE: Millis = Millis::from_secs(10);
+
+/// The largest body before the routes are known, in bytes.
+const BODY_MAX: u64 = 256 << 10;
+
+type Answering = Pin<Box<dyn Future<Output = Response> + Send>>;
+
+/// Answers callers.
+#[derive(Debug)]
+pub struct Callers {
+    pub node: Arc<Node>,
+}
+
+impl Handler for Callers {
+    fn answer(self: Arc<Self>, request: Request) -> Answering {
+        Box::pin(async move {
+            let node = Arc::clone(&self.node);
+            let mut response = answer(&node, request).await;
+            if node.is_draining() {
+                response.insert_header("Connection", "close");
+            }
+            response
+        })
+    }
+
+    fn body_max(&self) -> u64 {
+        self.node.routes().body_max.max(BODY_MAX)
+    }
+}
+
+async fn answer(node: &Arc<Node>, mut request: Request) -> Response {
+    let since = node.now();
+    let routes = node.routes();
+    if routes.version == 0 {
+        return refuse(StatusCode::ServiceUnavailable, "no-routes", "", Millis(1000));
+    }
+    let Some((route, id)) = find(&routes, &request) else {
+        return state(StatusCode::NotFound, "unknown");
+    };
+    let id = id.to_owned();
+    match request.method() {
+        Method::Post => submit(node, route, &id, since, &mut request).await,
+        Method::Get if id.is_empty() => {
+            json(StatusCode::Ok, &json!({ "pending": node.pending(&route.name) }))
+        }
+        // Jobs are answered when they end and are not kept: nothing is known of one afterwards.
+        Method::Get | Method::Delete => state(StatusCode::Gone, "unknown"),
+        _ => state(StatusCode::MethodNotAllowed, "unknown"),
+    }
+}
+
+fn find<'a>(routes: &Table, request: &'a Request) -> Option<(Arc<Route>, &'a str)> {
+    let host = request.header("Host").map_or("", |host| host.last().as_str());
+    let (route, id) = routes.find(host, request.url().path())?;
+    Some((Arc::clone(route), id))
+}
+
+async fn submit(
+    node: &Arc<Node>,
+    route: Arc<Route>,
+    id: &str,
+    since: Millis,
+    request: &mut Request,
+) -> Response {
+    let patience = patience(&route, request);
+    let most = node.routes().body_max;
+    let body = match read_body(request, most, BODY_TIMEOUT).await {
+        Ok(body) => body,
+        Err(error) => {
+            event!(warn, "request-unread", job = id, reason = error);
+            return state(StatusCode::BadRequest, "invalid");
+        }
+    };
+    let spec = match request::decode(id, &route, &body) {
+        Ok(spec) => spec,
+        Err(request::Error::Unsupported(field)) => {
+            return refuse(StatusCode::ServiceUnavailable, field, id, Millis::from_secs(60));
+        }
+        Err(error) => {
+            event!(warn, "request-invalid", job = id, reason = error);
+            return state(StatusCode::BadRequest, "invalid");
+        }
+    };
+    let outcome = node.submit(spec, Wait { since, until: since + patience }).await;
+    let took = node.now() - since;
+    event!(
+        info,
+        "batch-end",
+        job = id,
+        queue = route.name,
+        outcome = outcome,
+        ms = took.0,
+        patience = patience.0
+    );
+    respond(id, &outcome)
+}
+
+fn patience(route: &Route, request: &Request) -> Millis {
+    let named = request.header("Deadline-Ms").and_then(|value| value.last().as_str().parse().ok());
+    match named {
+        Some(named) => Millis(named),
+        None if route.timeout > Millis::ZERO => route.timeout,
+        None => PATIENCE,
+    }
+}
+
+fn respond(id: &str, outcome: &Outcome) -> Response {
+    match outcome {
+        Outcome::Done => state(StatusCode::Ok, "done"),
+        Outcome::Failed => state(StatusCode::Ok, "failed"),
+        Outcome::Refused { reason, retry_after } => {
+            refuse(StatusCode::ServiceUnavailable, &reason.to_string(), id, *retry_after)
+        }
+        Outcome::Moved => refuse(StatusCode::ServiceUnavailable, "moved", id, Millis(1000)),
+        Outcome::Interrupted | Outcome::Expired => state(StatusCode::GatewayTimeout, "expired"),
+    }
+}
+
+/// Refuses a job of which nothing was started.
+fn refuse(status: StatusCode, reason: &str, id: &str, retry_after: Millis) -> Response {
+    event!(info, "refused", job = id, reason = reason, retry_ms = retry_after.0);
+    let mut response = state(status, "refused");
+    response.insert_header("Retry-After", retry_after.0.div_ceil(1000).max(1).to_string());
+    response
+}
+
+fn state(status: StatusCode, state: &str) -> Response {
+    json(status, &json!({ "state": state }))
+}
+
+fn json(status: StatusCode, body: &serde_json::Value) -> Response {
+    let mut response = Response::new(status);
+    response.set_body(body.to_string());
+    response.insert_header("Content-Type", "application/json");
+    response
+}
+
+/// Tells the platform whether callers are to be sent here.
+#[derive(Debug)]
+pub struct Ready {
+    pub node: Arc<Node>,
+}
+
+impl Handler for Ready {
+    fn answer(self: Arc<Self>, _request: Request) -> Answering {
+        Box::pin(async move {
+            match self.node.is_ready() {
+                true => state(StatusCode::Ok, "ready"),
+                false => state(StatusCode::ServiceUnavailable, "not-ready"),
+            }
+        })
+    }
+
+    fn body_max(&self) -> u64 {
+        0
+    }
+}
+
+/// Tells what is counted, as text.
+#[derive(Debug)]
+pub struct Metrics {
+    pub node: Arc<Node>,
+}
+
+impl Handler for Metrics {
+    fn answer(self: Arc<Self>, _request: Request) -> Answering {
+        Box::pin(async move {
+            let mut response = Response::new(StatusCode::Ok);
+            response.set_body(self.node.metrics_text());
+            response
+        })
+    }
+
+    fn body_max(&self) -> u64 {
+        0
+    }
+}
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -22,3 +22,8 @@
 pub fn spawn<T: Send + 'static>(future: impl Future<Output = T> + Send + 'static) -> Task<T> {
     EXECUTOR.spawn(future)
 }
+
+/// Runs `future` and all spawned tasks on this thread until it ends, for a VM with a part of one core.
+pub fn block_on<T>(future: impl Future<Output = T>) -> T {
+    smol::block_on(EXECUTOR.run(future))
+}
--- /dev/null
+++ b/src/schedule/engine.rs
@@ -0,0 +1,377 @@
+//! The engine: takes events, keeps the state of one VM's decisions, and gives out actions.
+
+use std::collections::{HashMap, HashSet};
+use std::sync::Arc;
+
+use crate::batch::{Outcome, Refusal, Spec, Step};
+use crate::clock::Millis;
+
+use super::batch::{Job, Times};
+use super::event::{Action, Event, JobId, Listing, Load, OrderId, Rules};
+use super::fence::Fence;
+use super::order::Order;
+use super::queue::{Backlog, Queue, Rank};
+use super::speed::Speeds;
+use super::target::{Phase, Target};
+
+/// The time between two looks at what waits and runs.
+const TICK: Millis = Millis(50);
+
+/// The shortest time after which a refused caller is told to come back.
+const RETRY_AFTER_MIN: Millis = Millis(1000);
+
+/// What a target's clock may lose on this VM's, in percent.
+const CLOCK_LOSS_PERCENT: u64 = 2;
+
+/// What is added to a lease before its end counts as certain: the target's own rounding and timers.
+const LAPSE_SLACK: Millis = Millis(60);
+
+/// The decisions of one VM about the targets that it owns.
+#[derive(Debug)]
+pub struct Engine {
+    pub(super) rules: Rules,
+    token: Fence,
+    pub(super) targets: Vec<Target>,
+    by_id: HashMap<Arc<str>, usize>,
+    pub(super) jobs: HashMap<JobId, Job>,
+    pub(super) queue: Queue,
+    pub(super) speeds: Speeds,
+    pub(super) orders: HashMap<OrderId, Order>,
+    next_order: OrderId,
+    /// Counts events, to tell what was sent before what.
+    pub(super) turn: u64,
+    draining: bool,
+    /// Whether anything has changed that may let a waiting task start.
+    pub(super) changed: bool,
+}
+
+impl Engine {
+    /// An engine without targets. The low bits of `process` name it to the targets.
+    pub fn new(process: u128, rules: Rules) -> Self {
+        Self {
+            rules,
+            token: Fence::new(process),
+            targets: Vec::new(),
+            by_id: HashMap::new(),
+            jobs: HashMap::new(),
+            queue: Queue::default(),
+            speeds: Speeds::default(),
+            orders: HashMap::new(),
+            next_order: 1,
+            turn: 0,
+            draining: false,
+            changed: false,
+        }
+    }
+
+    /// Takes one event at the time `now` and appends what is to be done to `actions`.
+    pub fn handle(&mut self, now: Millis, event: Event, actions: &mut Vec<Action>) {
+        self.turn += 1;
+        match event {
+            Event::Submit { job, spec, age, patience } => {
+                self.submit(now, job, spec, age, patience, actions);
+            }
+            Event::Abandon { job } => self.abandon(job, actions),
+            Event::Targets(listings) => self.list(now, listings, actions),
+            Event::Take { target, round } => self.take(now, &target, round, actions),
+            Event::Answer { order, reply } => self.answer(now, order, reply, actions),
+            Event::Drain => self.drain(now, actions),
+            Event::Tick => self.tick(now, actions),
+        }
+        if self.changed {
+            self.changed = false;
+            self.place(now, actions);
+        }
+    }
+
+    /// When the engine wants an [`Event::Tick`] at the latest.
+    pub fn wake(&self, now: Millis) -> Option<Millis> {
+        let busy = !self.jobs.is_empty()
+            || self.targets.iter().any(|target| {
+                target.phase == Phase::Taking || target.unsure || !target.runs.is_empty()
+            });
+        busy.then_some(now + TICK)
+    }
+
+    /// How busy the targets are.
+    pub fn load(&self, now: Millis) -> Load {
+        let sound = self.targets.iter().filter(|target| target.is_sound(now));
+        let (total, free) = sound.fold((0, 0), |(total, free), target| {
+            (total + target.listing.room.cpu, free + target.free().cpu)
+        });
+        let backlog = Backlog::time(self.queue.backlog().all, total);
+        Load { total_cpu: total, free_cpu: free, backlog }
+    }
+
+    /// The ids of the targets that are owned.
+    pub fn owned(&self) -> impl Iterator<Item = &Arc<str>> {
+        let owned = self.targets.iter().filter(|target| target.phase == Phase::Owned);
+        owned.map(|target| &target.listing.id)
+    }
+
+    /// The highest round of any token that was sent.
+    pub fn round(&self) -> u64 {
+        let owned = self.targets.iter().filter(|target| target.phase != Phase::Free);
+        owned.map(|target| target.fence.round).max().unwrap_or_default()
+    }
+
+    /// How many batches have no end yet.
+    pub fn unfinished(&self) -> usize {
+        self.jobs.len()
+    }
+
+    /// How many batches of `queue` have not started.
+    pub fn pending(&self, queue: &str) -> usize {
+        self.jobs.values().filter(|job| !job.started && &*job.spec.queue == queue).count()
+    }
+
+    pub(super) fn number_order(&mut self, order: Order) -> OrderId {
+        let number = self.next_order;
+        self.next_order += 1;
+        self.orders.insert(number, order);
+        number
+    }
+
+    /// When a lease that is granted or renewed now has surely lapsed.
+    pub(super) fn lapse(&self, now: Millis) -> Millis {
+        let lease = self.rules.lease_max;
+        now + lease + Millis(lease.0 * CLOCK_LOSS_PERCENT / 100) + LAPSE_SLACK
+    }
+
+    /// How long a task of a step is expected to last where the slowness is 1.
+    pub(super) fn expected(&self, spec: &Spec, step: &Step) -> Millis {
+        self.speeds.expected(&spec.queue, step.estimate)
+    }
+
+    fn submit(
+        &mut self,
+        now: Millis,
+        id: JobId,
+        spec: Arc<Spec>,
+        age: Millis,
+        patience: Millis,
+        actions: &mut Vec<Action>,
+    ) {
+        let chain = spec.longest_chain(|step| self.expected(&spec, step));
+        let times = Times { sent: now - age, leaves: now + patience, chain };
+        let mut job = Job::new(spec, times);
+        job.awaits_remains = self.has_remains(&job.spec.id);
+        if self.draining || !self.could_run(&job) {
+            actions.push(Action::End { job: id, outcome: Outcome::Moved });
+            return;
+        }
+        if let Some(outcome) = self.refusal(now, id, &job) {
+            actions.push(Action::End { job: id, outcome });
+            return;
+        }
+        self.jobs.insert(id, job);
+        self.enqueue(now, id);
+        self.changed = true;
+    }
+
+    /// Refuses a batch that can't end in time behind what waits already.
+    fn refusal(&self, now: Millis, id: JobId, job: &Job) -> Option<Outcome> {
+        let factor = self.best_factor(now, job)?;
+        let late = now + scaled(job.chain, factor) > job.objective_at;
+        let ahead = self.queue.ahead_of(&Rank::of(id, job, late));
+        let capacity = self.load(now).total_cpu;
+        let wait = Backlog::time(ahead, capacity);
+        let end = now + wait + scaled(job.chain, factor);
+        (end > job.useful_until).then(|| self.overload(now))
+    }
+
+    pub(super) fn overload(&self, now: Millis) -> Outcome {
+        let retry_after = self.load(now).backlog.max(RETRY_AFTER_MIN);
+        Outcome::Refused { reason: Refusal::Overload, retry_after }
+    }
+
+    /// Whether the targets that are owned could ever run all tasks of a batch.
+    fn could_run(&self, job: &Job) -> bool {
+        job.spec.steps.iter().all(|step| {
+            self.targets.iter().any(|target| {
+                target.phase == Phase::Owned
+                    && target.listing.service == job.spec.service
+                    && target.listing.room.fits(&step.need)
+                    && has_label(target, step)
+            })
+        })
+    }
+
+    /// Whether tasks of an earlier submission under the same id may still run here.
+    pub(super) fn has_remains(&self, id: &str) -> bool {
+        self.targets.iter().any(|target| {
+            target.runs.iter().any(|run| run.orphan && &*run.name.job == id)
+                || target.foreign.iter().any(|(name, _)| &*name.job == id)
+        })
+    }
+
+    /// Puts a batch where it belongs among those that wait.
+    pub(super) fn enqueue(&mut self, now: Millis, id: JobId) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        let factor = self.best_factor(now, job).unwrap_or(1.0);
+        let late = now + scaled(job.chain, factor) > job.objective_at;
+        let work = job.ready.iter().map(|&task| {
+            let step = &job.spec.steps[job.tasks[task].step];
+            step.need.cpu.max(1) * self.expected(&job.spec, step).0.max(1)
+        });
+        let (rank, work) = (Rank::of(id, job, late), work.sum());
+        self.queue.put(rank, work);
+    }
+
+    fn abandon(&mut self, id: JobId, actions: &mut Vec<Action>) {
+        if self.jobs.remove(&id).is_some() {
+            self.queue.remove(id);
+            self.orphan(id, actions);
+        }
+    }
+
+    /// Ends a batch and stops what still runs of it.
+    pub(super) fn end(&mut self, id: JobId, outcome: Outcome, actions: &mut Vec<Action>) {
+        self.abandon(id, actions);
+        actions.push(Action::End { job: id, outcome });
+    }
+
+    fn list(&mut self, now: Millis, listings: Vec<Listing>, actions: &mut Vec<Action>) {
+        let listed = listings.iter().map(|listing| Arc::clone(&listing.id)).collect::<HashSet<_>>();
+        for target in &mut self.targets {
+            if !listed.contains(&target.listing.id) {
+                target.unlisted_since.get_or_insert(now);
+            }
+        }
+        for listing in listings {
+            match self.by_id.get(&listing.id) {
+                Some(&number) => self.relist(now, number, listing, actions),
+                None => {
+                    self.by_id.insert(Arc::clone(&listing.id), self.targets.len());
+                    self.targets.push(Target::new(listing, self.token));
+                }
+            }
+        }
+        self.changed = true;
+    }
+
+    fn relist(&mut self, now: Millis, number: usize, listing: Listing, actions: &mut Vec<Action>) {
+        let target = &mut self.targets[number];
+        target.unlisted_since = None;
+        let born_again = listing.life > target.life;
+        let life = listing.life;
+        target.listing = listing;
+        if born_again {
+            self.born_again(now, number, life, actions);
+        }
+    }
+
+    /// Another life of the target has begun: nothing of before runs any longer.
+    pub(super) fn born_again(
+        &mut self,
+        now: Millis,
+        number: usize,
+        life: u64,
+        actions: &mut Vec<Action>,
+    ) {
+        let target = &mut self.targets[number];
+        target.life = life;
+        target.seen = 0;
+        target.clock = None;
+        target.foreign.clear();
+        target.health = super::target::Health::default();
+        target.track = super::speed::Track::default();
+        target.unsure = true;
+        self.drop_runs(now, number);
+        self.tend(now, number, actions);
+    }
+
+    fn take(&mut self, now: Millis, id: &str, round: u64, actions: &mut Vec<Action>) {
+        let Some(&number) = self.by_id.get(id) else { return };
+        let target = &mut self.targets[number];
+        if target.phase != Phase::Free || self.draining {
+            return;
+        }
+        target.phase = Phase::Taking;
+        target.fence = target.fence.at(round.max(target.fence.round) + 1);
+        target.hold_due = now;
+        self.tend(now, number, actions);
+    }
+
+    fn drain(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        self.draining = true;
+        let waiting = self.jobs.iter().filter(|(_, job)| !job.started);
+        for id in waiting.map(|(&id, _)| id).collect::<Vec<_>>() {
+            self.end(id, Outcome::Moved, actions);
+        }
+        self.tick(now, actions);
+    }
+
+    fn tick(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        for number in 0..self.targets.len() {
+            self.lapse_runs(now, number);
+            self.stop_overdue(now, number, actions);
+            self.drop_unlisted(now, number, actions);
+            self.release_idle(number, actions);
+            self.tend(now, number, actions);
+        }
+        self.expire(now, actions);
+        self.changed |= !self.queue.is_empty();
+    }
+
+    /// Ends batches whose time is up, and those that have no target left.
+    fn expire(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        let has_targets = self.targets.iter().any(|target| target.phase != Phase::Free);
+        let running = self.targets.iter().flat_map(|target| &target.runs);
+        let running = running.map(|run| run.job).collect::<HashSet<_>>();
+        let mut over = Vec::new();
+        for (&id, job) in &self.jobs {
+            let is_out = now >= job.leaves || (!job.ready.is_empty() && now >= job.useful_until);
+            if !has_targets && !running.contains(&id) {
+                over.push((id, if job.started { Outcome::Interrupted } else { Outcome::Moved }));
+            } else if is_out && job.started {
+                over.push((id, Outcome::Expired));
+            } else if is_out {
+                over.push((id, self.overload(now)));
+            }
+        }
+        for (id, outcome) in over {
+            self.end(id, outcome, actions);
+        }
+    }
+
+    /// Gives up a target that has been gone from the list for too long.
+    fn drop_unlisted(&mut self, now: Millis, number: usize, actions: &mut Vec<Action>) {
+        let target = &self.targets[number];
+        let Some(since) = target.unlisted_since else { return };
+        let is_gone = now - since > self.rules.unlisted_max && target.runs.is_empty();
+        if is_gone && target.phase != Phase::Free {
+            self.leave(number, false, actions);
+        }
+    }
+
+    /// Releases an idle target of a VM that is being stopped, unless a batch that has started needs it.
+    fn release_idle(&mut self, number: usize, actions: &mut Vec<Action>) {
+        let target = &self.targets[number];
+        let is_idle = target.runs.is_empty() && target.phase != Phase::Free;
+        if self.draining && is_idle && self.queue.is_empty() {
+            self.leave(number, false, actions);
+        }
+    }
+
+    /// Stops being the owner of a target. What runs there lapses unless the next owner stops it first.
+    pub(super) fn leave(&mut self, number: usize, fenced: bool, actions: &mut Vec<Action>) {
+        let target = &mut self.targets[number];
+        target.phase = Phase::Free;
+        target.waiting_hold = None;
+        target.quick_hold = None;
+        target.unsure = false;
+        target.foreign.clear();
+        actions.push(Action::Left { target: Arc::clone(&target.listing.id), fenced });
+    }
+}
+
+/// Whether a target has the label that a step asks for, if any.
+pub(super) fn has_label(target: &Target, step: &Step) -> bool {
+    step.required_label.as_ref().is_none_or(|label| target.listing.labels.contains(label))
+}
+
+/// A time stretched by a factor.
+pub(super) fn scaled(time: Millis, factor: f64) -> Millis {
+    Millis((time.0 as f64 * factor) as u64)
+}
--- /dev/null
+++ b/src/schedule/event.rs
@@ -0,0 +1,263 @@
+//! What goes into the scheduler and what comes out of it.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::batch::{Name, Outcome, Room, Spec};
+use crate::clock::Millis;
+
+use super::fence::Fence;
+
+/// A batch that this VM runs, unique within its process.
+pub type JobId = u64;
+
+/// A call to a target, unique within its process.
+pub type OrderId = u64;
+
+/// Times and factors that the platform sets.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Rules {
+    /// The longest lease that a target grants.
+    pub lease_max: Millis,
+    /// How much longer a task lasts on another rack than that of its data.
+    pub far_factor: f64,
+    /// How long a target that has left the list may still be used while it answers.
+    pub unlisted_max: Millis,
+}
+
+/// A target as it describes itself.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Listing {
+    /// Its id.
+    pub id: Arc<str>,
+    /// The service whose tasks it runs.
+    pub service: Arc<str>,
+    /// Its failure domain.
+    pub domain: Arc<str>,
+    /// Its rack.
+    pub rack: Option<Arc<str>>,
+    /// All its labels, the first of which names its kind.
+    pub labels: Vec<String>,
+    /// All that it has.
+    pub room: Room,
+    /// Whether it is leaving and takes no new tasks.
+    pub draining: bool,
+    /// Whether it refuses by itself what does not fit.
+    pub guards_room: bool,
+    /// What tells one life of it from the next under the same id.
+    pub life: u64,
+}
+
+/// What has happened.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// A caller's batch has come.
+    Submit {
+        /// Its number here.
+        job: JobId,
+        /// What it is.
+        spec: Arc<Spec>,
+        /// How long ago the caller sent it.
+        age: Millis,
+        /// How long its caller still waits.
+        patience: Millis,
+    },
+    /// The caller has left, or another VM has given the batch up.
+    Abandon {
+        /// The batch.
+        job: JobId,
+    },
+    /// The targets that the store lists.
+    Targets(Vec<Listing>),
+    /// The target is to be taken over. The former owner's round is at least `round`.
+    Take {
+        /// The target.
+        target: Arc<str>,
+        /// The lowest round to try.
+        round: u64,
+    },
+    /// A call to a target has ended.
+    Answer {
+        /// The call.
+        order: OrderId,
+        /// How.
+        reply: Reply,
+    },
+    /// This VM is being stopped: unstarted batches move on, and targets are released as they become idle.
+    Drain,
+    /// Time has passed.
+    Tick,
+}
+
+/// How a call to a target ended.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Reply {
+    /// A start or a stop was answered.
+    Order(OrderAnswer),
+    /// A hold was answered.
+    Hold(HoldAnswer),
+    /// The target refused the call and did nothing.
+    Denied {
+        /// Why.
+        denial: Denial,
+        /// Its clock, if it said.
+        clock: Option<Millis>,
+    },
+    /// Nothing was sent.
+    Unsent,
+    /// No answer came; the call may have been executed, or may be later.
+    Lost,
+}
+
+/// A start or stop that was executed, now or before.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct OrderAnswer {
+    /// The target's clock.
+    pub clock: Millis,
+}
+
+/// What a target says it runs.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct HoldAnswer {
+    /// Its clock.
+    pub clock: Millis,
+    /// What tells this life of it from others under the same id, if it said.
+    pub life: Option<u64>,
+    /// What runs.
+    pub running: Vec<Running>,
+    /// What has ended and was not acknowledged yet, in the order of its numbers.
+    pub ended: Vec<Ended>,
+}
+
+/// A task that runs.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Running {
+    /// The task.
+    pub name: Name,
+    /// Which start of it.
+    pub run: u32,
+}
+
+/// A task that has ended.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Ended {
+    /// The number of the end, from 1 in each life of the target.
+    pub number: u64,
+    /// The task.
+    pub name: Name,
+    /// Which start of it.
+    pub run: u32,
+    /// How.
+    pub ending: Ending,
+}
+
+/// How a task ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Ending {
+    /// It did what it was told.
+    Done,
+    /// It failed by itself or by its target's fault.
+    Failed,
+    /// It was stopped, or its lease lapsed, and it is no fault of its own.
+    Cut,
+}
+
+/// Why a target refused a call.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Denial {
+    /// It has seen a higher token.
+    Fence,
+    /// The run is not above one that was stopped or has ended there.
+    OldRun,
+    /// The lease would have lapsed already.
+    Late,
+    /// The task does not fit.
+    Room,
+    /// The target is not well.
+    Unhealthy,
+    /// It is another life of the target than the one that was meant.
+    OtherLife,
+    /// The target can't read the call, or knows no such task.
+    Invalid,
+}
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Start a task.
+    Start {
+        /// The call.
+        order: OrderId,
+        /// Where.
+        target: Arc<str>,
+        /// The task.
+        name: Name,
+        /// Which start of it.
+        run: u32,
+        /// What the task is told to do.
+        text: Arc<str>,
+        /// The owner's token.
+        fence: Fence,
+        /// Until when the lease lasts, on the target's clock.
+        until: Millis,
+    },
+    /// Stop a task.
+    Stop {
+        /// The call.
+        order: OrderId,
+        /// Where.
+        target: Arc<str>,
+        /// The task.
+        name: Name,
+        /// Which start of it.
+        run: u32,
+        /// The owner's token.
+        fence: Fence,
+    },
+    /// Renew the leases of all that runs on a target, and ask what runs.
+    Hold {
+        /// The call.
+        order: OrderId,
+        /// Where.
+        target: Arc<str>,
+        /// The owner's token.
+        fence: Fence,
+        /// Until when the leases last, on the target's clock; `None` to look only.
+        until: Option<Millis>,
+        /// The last end that is known here.
+        seen: u64,
+        /// How long the answer waits for an end.
+        wait: Millis,
+    },
+    /// A batch has ended.
+    End {
+        /// The batch.
+        job: JobId,
+        /// How.
+        outcome: Outcome,
+    },
+    /// A target is now owned and may be used.
+    Owned {
+        /// The target.
+        target: Arc<str>,
+    },
+    /// A target was released, is gone, or has another owner.
+    Left {
+        /// The target.
+        target: Arc<str>,
+        /// Whether another VM has taken it.
+        fenced: bool,
+    },
+}
+
+/// How busy a VM's targets are; what other VMs go by when they pass a batch on.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Load {
+    /// Thousandths of cores of the targets that are owned and sound.
+    pub total_cpu: u64,
+    /// Those of them that are free.
+    pub free_cpu: u64,
+    /// How long all of them together need for what waits.
+    pub backlog: Millis,
+}
--- /dev/null
+++ b/src/schedule/hold.rs
@@ -0,0 +1,209 @@
+//! Holds: they renew the leases of all that runs on a target, bring the ends of tasks, and settle what is unsure.
+
+use std::sync::Arc;
+
+use crate::batch::Name;
+use crate::clock::Millis;
+
+use super::engine::Engine;
+use super::event::{Action, Denial, HoldAnswer, OrderId, Reply, Running};
+use super::fence::Fence;
+use super::order::Order;
+use super::target::{Phase, State};
+
+/// How long a hold waits for an end while tasks run; leases are renewed that often.
+const WAIT_BUSY: Millis = Millis(350);
+
+/// How long a hold waits on an idle target. A start meanwhile brings its own lease, which outlasts the wait.
+const WAIT_IDLE: Millis = Millis(500);
+
+/// The pause after a hold that was not answered.
+const PAUSE: Millis = Millis(100);
+
+/// The most tasks of other owners that are stopped at once.
+const STOPS_MAX: usize = 64;
+
+impl Engine {
+    /// Sends the holds that a target is due.
+    pub(super) fn tend(&mut self, now: Millis, number: usize, actions: &mut Vec<Action>) {
+        let target = &self.targets[number];
+        let is_unclear = target.phase == Phase::Taking || target.unsure;
+        if target.phase == Phase::Free {
+            return;
+        }
+        if is_unclear && target.quick_hold.is_none() && now >= target.hold_due {
+            let order = self.hold(number, None, Millis::ZERO, actions);
+            self.targets[number].quick_hold = Some(order);
+        } else if !is_unclear && target.waiting_hold.is_none() {
+            let wait = if target.runs.is_empty() { WAIT_IDLE } else { WAIT_BUSY };
+            // What another owner left running is not to live on.
+            let renews = target.foreign.is_empty();
+            let until = target.clock_at(now).filter(|_| renews);
+            let until = until.map(|clock| clock + self.rules.lease_max);
+            let lapse = self.lapse(now);
+            let target = &mut self.targets[number];
+            if until.is_some() {
+                target.lapse_by = target.lapse_by.max(lapse);
+            }
+            let order = self.hold(number, until, wait, actions);
+            self.targets[number].waiting_hold = Some(order);
+        }
+    }
+
+    fn hold(
+        &mut self,
+        number: usize,
+        until: Option<Millis>,
+        wait: Millis,
+        actions: &mut Vec<Action>,
+    ) -> OrderId {
+        let turn = self.turn;
+        let fence = self.targets[number].fence;
+        let order = self.number_order(Order::Hold { target: number, fence, turn });
+        let target = &self.targets[number];
+        actions.push(Action::Hold {
+            order,
+            target: Arc::clone(&target.listing.id),
+            fence,
+            until,
+            seen: target.seen,
+            wait,
+        });
+        order
+    }
+
+    pub(super) fn hold_answered(
+        &mut self,
+        now: Millis,
+        number: usize,
+        order: OrderId,
+        (fence, turn): (Fence, u64),
+        reply: Reply,
+        actions: &mut Vec<Action>,
+    ) {
+        let target = &mut self.targets[number];
+        if target.waiting_hold == Some(order) {
+            target.waiting_hold = None;
+        }
+        if target.quick_hold == Some(order) {
+            target.quick_hold = None;
+        }
+        match reply {
+            Reply::Hold(answer) => self.held(now, number, (fence, turn), &answer, actions),
+            Reply::Denied { denial: Denial::Fence, .. } if fence == target.fence => {
+                match target.phase {
+                    // The former owner's round is not known: double until it is passed.
+                    Phase::Taking => target.fence = target.fence.at(target.fence.round * 2 + 1),
+                    Phase::Owned => self.leave(number, true, actions),
+                    Phase::Free => {}
+                }
+            }
+            Reply::Denied { denial: Denial::Fence, .. } => {}
+            Reply::Denied { denial: Denial::OtherLife, .. } if target.phase != Phase::Free => {
+                self.leave(number, false, actions);
+            }
+            _ => {
+                target.unsure = true;
+                target.hold_due = now + PAUSE;
+                target.health.unwell(now);
+            }
+        }
+    }
+
+    fn held(
+        &mut self,
+        now: Millis,
+        number: usize,
+        (fence, turn): (Fence, u64),
+        answer: &HoldAnswer,
+        actions: &mut Vec<Action>,
+    ) {
+        let target = &mut self.targets[number];
+        if let Some(life) = answer.life.filter(|&life| life > target.life) {
+            self.born_again(now, number, life, actions);
+        }
+        let target = &mut self.targets[number];
+        target.read_clock(answer.clock, now);
+        if fence == target.fence {
+            target.unsure = false;
+        }
+        if target.phase == Phase::Taking && fence == target.fence {
+            target.phase = Phase::Owned;
+            actions.push(Action::Owned { target: Arc::clone(&target.listing.id) });
+        }
+        self.changed = true;
+        for end in &answer.ended {
+            if end.number > self.targets[number].seen {
+                self.targets[number].seen = end.number;
+                self.ended(now, number, (&end.name, end.run), end.ending, actions);
+            }
+        }
+        self.settle_absent(now, number, (fence, turn), &answer.running);
+        self.stop_strays(number, &answer.running, actions);
+    }
+
+    /// Settles the runs that a target does not list: they have ended, or will never be.
+    fn settle_absent(
+        &mut self,
+        now: Millis,
+        number: usize,
+        (fence, turn): (Fence, u64),
+        running: &[Running],
+    ) {
+        let target = &mut self.targets[number];
+        let mut gone = Vec::new();
+        for run in &mut target.runs {
+            let listed =
+                running.iter().any(|listed| listed.run == run.run && listed.name == run.name);
+            if listed && run.state == State::Ordered {
+                run.state = State::Running;
+                run.confirmed = self.turn;
+            }
+            // Under a higher token than the start's, what has not arrived yet is refused.
+            let is_refuted = run.state == State::Ordered && run.fence < fence;
+            let is_known = run.confirmed > 0 && run.confirmed < turn;
+            let has_vanished = is_known && matches!(run.state, State::Running | State::Stopped);
+            if !listed && (is_refuted || has_vanished) {
+                gone.push((run.name.clone(), run.run));
+            }
+        }
+        for (name, run) in gone {
+            self.refute(now, number, &name, run);
+        }
+    }
+
+    /// Stops what runs and should not: what another owner has left, and what was given up here.
+    fn stop_strays(&mut self, number: usize, running: &[Running], actions: &mut Vec<Action>) {
+        let target = &mut self.targets[number];
+        if target.phase != Phase::Owned {
+            return;
+        }
+        target.foreign.retain(|(name, run)| {
+            running.iter().any(|listed| listed.run == *run && listed.name == *name)
+        });
+        let mut strays = Vec::<(Name, u32)>::new();
+        for listed in running {
+            match target.find(&listed.name, listed.run) {
+                Some(index) => {
+                    let run = &target.runs[index];
+                    if run.orphan && run.state == State::Running {
+                        strays.push((listed.name.clone(), listed.run));
+                    }
+                }
+                None => {
+                    let known = target
+                        .foreign
+                        .iter()
+                        .any(|(name, run)| *run == listed.run && *name == listed.name);
+                    if !known && target.foreign.len() < STOPS_MAX {
+                        target.foreign.push((listed.name.clone(), listed.run));
+                        strays.push((listed.name.clone(), listed.run));
+                    }
+                }
+            }
+        }
+        for (name, run) in strays {
+            self.stop(number, &name, run, actions);
+        }
+    }
+}
--- /dev/null
+++ b/src/schedule/mod.rs
@@ -0,0 +1,22 @@
+//! The scheduler of one VM: which task of which batch starts when, on which of the targets that the VM owns.
+//!
+//! It takes events with the time and returns actions; it does no I/O, reads no clock and starts no thread.
+//! Answers may come late, twice, in any order or never.
+
+mod batch;
+mod engine;
+mod event;
+mod fence;
+mod hold;
+mod order;
+mod placement;
+mod queue;
+mod speed;
+mod target;
+
+pub use engine::Engine;
+pub use event::{
+    Action, Denial, Ended, Ending, Event, HoldAnswer, JobId, Listing, Load, OrderAnswer, OrderId,
+    Reply, Rules, Running,
+};
+pub use fence::Fence;
--- /dev/null
+++ b/src/schedule/order.rs
@@ -0,0 +1,379 @@
+//! Calls to targets: starts and stops, what their answers mean, and what their silence means.
+
+use std::sync::Arc;
+
+use crate::batch::{Name, Outcome};
+use crate::clock::Millis;
+
+use super::engine::{Engine, scaled};
+use super::event::{Action, Denial, Ending, JobId, OrderId, Reply};
+use super::fence::Fence;
+use super::speed::Sample;
+use super::target::{Phase, Run, State};
+
+/// A task that lasts this many times what is expected stands still, or its target has turned slow.
+const OVERDUE_FACTOR: f64 = 2.5;
+
+/// What a task may last beyond that: estimates of short tasks are rough.
+const OVERDUE_SLACK: Millis = Millis(150);
+
+/// A call without an answer.
+#[derive(Clone, Debug)]
+pub(super) enum Order {
+    Start { target: usize, name: Name, run: u32, fence: Fence },
+    Stop { target: usize, name: Name, run: u32, fence: Fence },
+    Hold { target: usize, fence: Fence, turn: u64 },
+}
+
+impl Engine {
+    pub(super) fn answer(
+        &mut self,
+        now: Millis,
+        order: OrderId,
+        reply: Reply,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(sent) = self.orders.remove(&order) else { return };
+        let number = match sent {
+            Order::Start { target, name, run, fence } => {
+                self.start_answered(now, target, (&name, run), fence, reply, actions);
+                target
+            }
+            Order::Stop { target, name, run, fence } => {
+                self.stop_answered(now, target, (&name, run), fence, reply, actions);
+                target
+            }
+            Order::Hold { target, fence, turn } => {
+                self.hold_answered(now, target, order, (fence, turn), reply, actions);
+                target
+            }
+        };
+        self.tend(now, number, actions);
+    }
+
+    /// Sends the start of a task.
+    pub(super) fn start(
+        &mut self,
+        now: Millis,
+        id: JobId,
+        task: usize,
+        number: usize,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(until) = self.targets[number].clock_at(now) else { return };
+        let until = until + self.rules.lease_max;
+        let lapse = self.lapse(now);
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        job.started = true;
+        job.tasks[task].run += 1;
+        let spec = Arc::clone(&job.spec);
+        let (name, run) = (job.name(task), job.tasks[task].run);
+        let step = &spec.steps[job.tasks[task].step];
+        let expected = self.expected(&spec, step);
+        let target = &self.targets[number];
+        let far = is_far(step.near_rack.as_deref(), target.listing.rack.as_deref());
+        let slowness = self.speeds.slowness(&target.track, target.kind());
+        let factor = if far { self.rules.far_factor } else { 1.0 };
+        let target = &mut self.targets[number];
+        target.lapse_by = target.lapse_by.max(lapse);
+        let fence = target.fence;
+        target.runs.push(Run {
+            job: id,
+            task,
+            name: name.clone(),
+            run,
+            need: step.need,
+            state: State::Ordered,
+            fence,
+            sent: now,
+            expected: scaled(expected, slowness * factor),
+            declared: step.estimate,
+            far,
+            slowness,
+            confirmed: 0,
+            orphan: false,
+            overdue: false,
+        });
+        let id = Arc::clone(&target.listing.id);
+        let order = Order::Start { target: number, name: name.clone(), run, fence };
+        let order = self.number_order(order);
+        let text = Arc::clone(&spec.text);
+        actions.push(Action::Start { order, target: id, name, run, text, fence, until });
+    }
+
+    /// Sends the stop of a task, of this VM or of another.
+    pub(super) fn stop(&mut self, number: usize, name: &Name, run: u32, actions: &mut Vec<Action>) {
+        let target = &mut self.targets[number];
+        if target.phase != Phase::Owned {
+            return;
+        }
+        if let Some(index) = target.find(name, run) {
+            target.runs[index].state = State::Stopping;
+        }
+        let (fence, id) = (target.fence, Arc::clone(&target.listing.id));
+        let order = Order::Stop { target: number, name: name.clone(), run, fence };
+        let order = self.number_order(order);
+        actions.push(Action::Stop { order, target: id, name: name.clone(), run, fence });
+    }
+
+    /// Stops what still runs of a batch that nobody waits for.
+    pub(super) fn orphan(&mut self, id: JobId, actions: &mut Vec<Action>) {
+        for number in 0..self.targets.len() {
+            let runs = &mut self.targets[number].runs;
+            let of_job = runs.iter_mut().filter(|run| run.job == id && !run.orphan);
+            let mut to_stop = Vec::new();
+            for run in of_job {
+                run.orphan = true;
+                if matches!(run.state, State::Ordered | State::Running) {
+                    to_stop.push((run.name.clone(), run.run));
+                }
+            }
+            for (name, run) in to_stop {
+                self.stop(number, &name, run, actions);
+            }
+        }
+    }
+
+    fn start_answered(
+        &mut self,
+        now: Millis,
+        number: usize,
+        (name, run): (&Name, u32),
+        fence: Fence,
+        reply: Reply,
+        actions: &mut Vec<Action>,
+    ) {
+        let turn = self.turn;
+        let target = &mut self.targets[number];
+        match reply {
+            Reply::Order(answer) => {
+                target.read_clock(answer.clock, now);
+                if let Some(index) = target.find(name, run) {
+                    let run = &mut target.runs[index];
+                    run.confirmed = turn;
+                    if run.state == State::Ordered {
+                        run.state = State::Running;
+                    }
+                }
+            }
+            Reply::Denied { denial, clock } => {
+                if let Some(clock) = clock {
+                    target.read_clock(clock, now);
+                }
+                self.start_denied(now, number, (name, run), fence, denial, actions);
+            }
+            Reply::Unsent => {
+                target.health.unwell(now);
+                target.unsure = true;
+                self.refute(now, number, name, run);
+            }
+            Reply::Lost | Reply::Hold(_) => {
+                target.health.unwell(now);
+                target.raise();
+            }
+        }
+    }
+
+    fn start_denied(
+        &mut self,
+        now: Millis,
+        number: usize,
+        (name, run): (&Name, u32),
+        fence: Fence,
+        denial: Denial,
+        actions: &mut Vec<Action>,
+    ) {
+        let target = &mut self.targets[number];
+        let job =
+            target.find(name, run).map(|index| (target.runs[index].job, target.runs[index].task));
+        match denial {
+            Denial::Fence if fence == target.fence && target.phase == Phase::Owned => {
+                self.refute(now, number, name, run);
+                self.leave(number, true, actions);
+                return;
+            }
+            Denial::Fence => {}
+            Denial::OldRun => {
+                if let Some(job) = job.and_then(|(id, task)| Some((self.jobs.get_mut(&id)?, task)))
+                {
+                    job.0.tasks[job.1].run = run * 2;
+                }
+            }
+            Denial::Late | Denial::Room | Denial::OtherLife => target.unsure = true,
+            Denial::Unhealthy => target.health.unwell(now),
+            Denial::Invalid => {
+                self.refute(now, number, name, run);
+                if let Some((id, task)) = job {
+                    self.fail_task(now, id, task, number, actions);
+                }
+                return;
+            }
+        }
+        self.refute(now, number, name, run);
+    }
+
+    /// Notes that a start was not executed and never will be.
+    pub(super) fn refute(&mut self, now: Millis, number: usize, name: &Name, run: u32) {
+        let target = &mut self.targets[number];
+        let Some(index) = target.find(name, run) else { return };
+        let run = target.runs.swap_remove(index);
+        self.put_back(now, &run);
+    }
+
+    /// Lets the task of a run that is gone wait again.
+    pub(super) fn put_back(&mut self, now: Millis, run: &Run) {
+        self.changed = true;
+        if run.orphan {
+            return;
+        }
+        if let Some(job) = self.jobs.get_mut(&run.job) {
+            job.put_back(run.task);
+            self.enqueue(now, run.job);
+        }
+    }
+
+    fn stop_answered(
+        &mut self,
+        now: Millis,
+        number: usize,
+        (name, run): (&Name, u32),
+        fence: Fence,
+        reply: Reply,
+        actions: &mut Vec<Action>,
+    ) {
+        let turn = self.turn;
+        let target = &mut self.targets[number];
+        let index = target.find(name, run);
+        match reply {
+            Reply::Order(answer) => {
+                target.read_clock(answer.clock, now);
+                if let Some(index) = index {
+                    target.runs[index].state = State::Stopped;
+                    target.runs[index].confirmed = turn;
+                }
+            }
+            Reply::Denied { denial: Denial::Fence, .. } if fence == target.fence => {
+                if target.phase == Phase::Owned {
+                    self.leave(number, true, actions);
+                }
+            }
+            Reply::Denied { .. } | Reply::Unsent | Reply::Lost | Reply::Hold(_) => {
+                // The next look shows what runs, and what should not is stopped again.
+                target.raise();
+                target.foreign.retain(|known| (&known.0, known.1) != (name, run));
+                if let Some(index) = index {
+                    target.runs[index].state = State::Running;
+                    target.runs[index].confirmed = turn;
+                }
+            }
+        }
+    }
+
+    /// Takes the end of a run.
+    pub(super) fn ended(
+        &mut self,
+        now: Millis,
+        number: usize,
+        (name, run): (&Name, u32),
+        ending: Ending,
+        actions: &mut Vec<Action>,
+    ) {
+        let target = &mut self.targets[number];
+        target.foreign.retain(|known| (&known.0, known.1) != (name, run));
+        self.changed = true;
+        let Some(index) = target.find(name, run) else { return };
+        let run = target.runs.swap_remove(index);
+        if run.orphan {
+            return;
+        }
+        match ending {
+            Ending::Done => self.task_done(now, number, &run, actions),
+            Ending::Failed => {
+                self.targets[number].health.fail(now, run.job);
+                self.fail_task(now, run.job, run.task, number, actions);
+            }
+            Ending::Cut => self.put_back(now, &run),
+        }
+    }
+
+    fn task_done(&mut self, now: Millis, number: usize, run: &Run, actions: &mut Vec<Action>) {
+        let Some(job) = self.jobs.get_mut(&run.job) else { return };
+        let far_factor = if run.far { self.rules.far_factor } else { 1.0 };
+        let measured = now - run.sent;
+        let sample =
+            Sample { measured, declared: run.declared, far_factor, slowness: run.slowness };
+        let target = &mut self.targets[number];
+        target.health.succeed();
+        let kind = target.listing.labels.first();
+        self.speeds.learn(&mut target.track, kind, &job.spec.queue, sample);
+        if job.finish(run.task) {
+            self.end(run.job, Outcome::Done, actions);
+        } else {
+            self.enqueue(now, run.job);
+        }
+    }
+
+    /// Notes that a task has failed; after its last attempt its batch has failed.
+    fn fail_task(
+        &mut self,
+        now: Millis,
+        id: JobId,
+        task: usize,
+        number: usize,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        job.tasks[task].failures += 1;
+        job.tasks[task].failed_on = Some(number);
+        if job.tasks[task].failures >= job.spec.terms.attempts {
+            self.end(id, Outcome::Failed, actions);
+            return;
+        }
+        job.put_back(task);
+        self.enqueue(now, id);
+        self.changed = true;
+    }
+
+    /// Forgets all runs of a target: they have surely ended.
+    pub(super) fn drop_runs(&mut self, now: Millis, number: usize) {
+        for run in std::mem::take(&mut self.targets[number].runs) {
+            self.put_back(now, &run);
+        }
+    }
+
+    /// Forgets the runs of a target on which no lease was renewed for so long that all have lapsed.
+    pub(super) fn lapse_runs(&mut self, now: Millis, number: usize) {
+        let target = &mut self.targets[number];
+        let renews = target.phase == Phase::Owned && !target.unsure;
+        if renews || target.runs.is_empty() || now <= target.lapse_by {
+            return;
+        }
+        target.health.unwell(now);
+        self.drop_runs(now, number);
+    }
+
+    /// Stops tasks that last far too long, so that they can run elsewhere.
+    pub(super) fn stop_overdue(&mut self, now: Millis, number: usize, actions: &mut Vec<Action>) {
+        let target = &mut self.targets[number];
+        let mut overdue = Vec::new();
+        for run in &mut target.runs {
+            let most = scaled(run.expected, OVERDUE_FACTOR) + OVERDUE_SLACK;
+            if run.state == State::Running && !run.overdue && now - run.sent > most {
+                run.overdue = true;
+                overdue.push((run.name.clone(), run.run));
+            }
+        }
+        if overdue.is_empty() || target.phase != Phase::Owned {
+            return;
+        }
+        target.health.stall(now);
+        for (name, run) in overdue {
+            self.stop(number, &name, run, actions);
+        }
+    }
+}
+
+/// Whether a target stands on another rack than the data.
+pub(super) fn is_far(data: Option<&str>, rack: Option<&str>) -> bool {
+    data.is_some_and(|data| rack != Some(data))
+}
--- /dev/null
+++ b/src/schedule/queue.rs
@@ -0,0 +1,102 @@
+//! What waits: in which order, how much of it there is, and what is refused.
+//!
+//! It answers sustained load beyond what the targets can do. Batches that can still end within their objective
+//! come first, the one that must start soonest first. Those that can't any longer use what the others leave,
+//! and are refused as soon as their end would be of no use.
+
+use std::collections::BTreeMap;
+
+use crate::clock::Millis;
+
+use super::batch::Job;
+use super::event::JobId;
+
+/// Where a batch stands in the queue; the smallest goes first.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(super) struct Rank {
+    /// Whether it can't end within its objective any longer.
+    pub late: bool,
+    /// When it must start.
+    pub latest_start: Millis,
+    /// Its queue's priority.
+    pub priority: u32,
+    /// Its number, so that ranks differ.
+    pub job: JobId,
+}
+
+impl Rank {
+    pub fn of(id: JobId, job: &Job, late: bool) -> Self {
+        let latest_start = job.latest_start();
+        Self { late, latest_start, priority: job.spec.terms.priority, job: id }
+    }
+}
+
+/// The work that waits, in thousandths of a core times milliseconds.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Backlog {
+    /// Of batches that may end within their objective.
+    pub timely: u64,
+    /// Of all.
+    pub all: u64,
+}
+
+impl Backlog {
+    /// The time that `cpu` thousandths of cores need for `work`.
+    pub fn time(work: u64, cpu: u64) -> Millis {
+        Millis(work / cpu.max(1))
+    }
+}
+
+/// Jobs with tasks whose turn has come.
+#[derive(Debug, Default)]
+pub(super) struct Queue {
+    ranks: BTreeMap<JobId, Rank>,
+    order: BTreeMap<Rank, u64>,
+    backlog: Backlog,
+}
+
+impl Queue {
+    /// Puts a job in its place, with the work of its tasks whose turn has come; without any it leaves.
+    pub fn put(&mut self, rank: Rank, work: u64) {
+        self.remove(rank.job);
+        if work == 0 {
+            return;
+        }
+        self.ranks.insert(rank.job, rank);
+        self.order.insert(rank, work);
+        self.backlog.all += work;
+        if !rank.late {
+            self.backlog.timely += work;
+        }
+    }
+
+    /// Takes a job out.
+    pub fn remove(&mut self, job: JobId) {
+        let Some(rank) = self.ranks.remove(&job) else { return };
+        let work = self.order.remove(&rank).unwrap_or_default();
+        self.backlog.all -= work;
+        if !rank.late {
+            self.backlog.timely -= work;
+        }
+    }
+
+    /// All jobs, the first to serve first.
+    pub fn order(&self) -> Vec<Rank> {
+        self.order.keys().copied().collect()
+    }
+
+    /// The work ahead of a batch that would get `rank`.
+    pub fn ahead_of(&self, rank: &Rank) -> u64 {
+        self.order.range(..*rank).map(|(_, work)| work).sum()
+    }
+
+    /// The work that waits.
+    pub const fn backlog(&self) -> Backlog {
+        self.backlog
+    }
+
+    /// Whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.order.is_empty()
+    }
+}
--- a/src/serve/calls.rs
+++ b/src/serve/calls.rs
@@ -4,8 +4,10 @@
 
 use smol::Timer;
 
+use crate::batch;
 use crate::clock::Millis;
 use crate::dispatch::{Adopted, Adoption, Event, Report, Start};
+use crate::event;
 use crate::job::{Execution, Failure, Incarnation, Outcome, Reason};
 use crate::membership::View;
 use crate::wire::{Call, FRAME_MAX_BYTES, Note, Reply};
@@ -41,6 +43,9 @@
             let adopted = Adopted { coordinator: from, start };
             Reply::Report(node.adopt(Event::Fate { adopted }).await)
         }
+        // This VM owns no leased targets.
+        Call::Batch { .. } => Reply::Batch(batch::Outcome::Moved),
+        Call::Routes => Reply::Routes(Vec::new()),
     }
 }
 
@@ -59,6 +64,9 @@
     match news {
         Note::Slots(message) => node.handle(Event::Slots { from, message }),
         Note::News(theirs) => node.catch_up(from, theirs),
+        Note::Abandon { .. } | Note::Owns(_) | Note::Busy(_) => {
+            event!(debug, "note-ignored", reason = "this VM owns no leased targets");
+        }
     }
 }
 
--- a/src/serve/routes.rs
+++ b/src/serve/routes.rs
@@ -6,11 +6,8 @@
 
 use http_types::{Method, Request, Response, StatusCode};
 use serde_json::json;
-use smol::Timer;
-use smol::future::FutureExt as _;
-use smol::io::AsyncReadExt as _;
 
-use crate::http::{problem, server};
+use crate::http::{BodyError, problem, read_body as read, server};
 use crate::job::{Answer, Execution, Failure, Outcome, Reason, Spec};
 use crate::wire::Seen;
 
@@ -170,38 +167,15 @@
 
 async fn read_body(node: &Node, request: &mut Request) -> Result<Vec<u8>, Failure> {
     let most = node.document().limits.body_max;
-    let large = || {
-        let detail = format!("the body is over {most} bytes; split the job");
-        Failure::new(Reason::Large, Execution::NotRun, detail)
-    };
-    let declared = request.len();
-    if declared.is_some_and(|length| length as u64 > most) {
-        return Err(large());
-    }
-    let source = request.take_body();
-    let mut body = Vec::with_capacity(declared.unwrap_or(0));
-    let reading = async {
-        let read = source.take(most + 1).read_to_end(&mut body).await;
-        read.map_err(|error| {
-            let detail = format!("the body can't be read: {error}; send it again");
-            Failure::new(Reason::Invalid, Execution::NotRun, detail)
-        })
-    };
     let limit = node.settings.callers.body_timeout;
-    let late = async {
-        Timer::after(limit.duration()).await;
-        let detail = format!("the body did not arrive within {limit}; send it faster");
-        Err(Failure::new(Reason::Slow, Execution::NotRun, detail))
-    };
-    let read = reading.or(late).await?;
-    if read as u64 > most {
-        return Err(large());
-    }
-    if declared.is_some_and(|length| length != read) {
-        let detail = "the body ended before its length; send it again";
-        return Err(Failure::new(Reason::Invalid, Execution::NotRun, detail));
-    }
-    Ok(body)
+    read(request, most, limit).await.map_err(|error| {
+        let reason = match error {
+            BodyError::Large(_) => Reason::Large,
+            BodyError::Slow(_) => Reason::Slow,
+            BodyError::Unread(_) | BodyError::Short => Reason::Invalid,
+        };
+        Failure::new(reason, Execution::NotRun, error.to_string())
+    })
 }
 
 fn answer(key: &str, outcome: &Outcome) -> Response {
--- a/src/store/calls.rs
+++ b/src/store/calls.rs
@@ -24,26 +24,30 @@
 
 /// The running counts behind [`Calls`].
 #[derive(Debug, Default)]
-pub(super) struct Counter {
+pub struct Counter {
     reads: AtomicU64,
     writes: AtomicU64,
     watches: AtomicU64,
 }
 
 impl Counter {
-    pub(super) fn read(&self) {
+    /// Counts a read.
+    pub fn read(&self) {
         self.reads.fetch_add(1, Ordering::Relaxed);
     }
 
-    pub(super) fn write(&self) {
+    /// Counts a write.
+    pub fn write(&self) {
         self.writes.fetch_add(1, Ordering::Relaxed);
     }
 
-    pub(super) fn watch(&self) {
+    /// Counts a read that waits.
+    pub fn watch(&self) {
         self.watches.fetch_add(1, Ordering::Relaxed);
     }
 
-    pub(super) fn calls(&self) -> Calls {
+    /// The counts so far.
+    pub fn calls(&self) -> Calls {
         Calls {
             reads: self.reads.load(Ordering::Relaxed),
             writes: self.writes.load(Ordering::Relaxed),
--- a/src/store/consul.rs
+++ b/src/store/consul.rs
@@ -1,8 +1,6 @@
 //! The store's HTTP client: Consul's published API over a few kept-alive connections.
 
 use std::net::SocketAddr;
-use std::sync::{Mutex, PoisonError};
-use std::time::Instant;
 
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
@@ -11,7 +9,7 @@
 use serde::de::DeserializeOwned;
 
 use crate::clock::Millis;
-use crate::http::{self, Connection, Question};
+use crate::http::{self, Keep, Pool, Question};
 
 use super::calls::Counter;
 use super::{Call, Calls, Condition, Entry, Error, Index, Read, Store, Vm};
@@ -28,22 +26,17 @@
 /// A client of the store. Watches hold a connection of their own while they wait.
 #[derive(Debug)]
 pub struct Consul {
-    address: SocketAddr,
     timeout: Millis,
-    idle: Mutex<Vec<Idle>>,
+    connections: Pool,
     counter: Counter,
 }
 
-#[derive(Debug)]
-struct Idle {
-    connection: Connection,
-    since: Instant,
-}
-
 impl Consul {
     /// A client of the store at `address` that waits `timeout` for an answer.
     pub fn new(address: SocketAddr, timeout: Millis) -> Self {
-        Self { address, timeout, idle: Mutex::default(), counter: Counter::default() }
+        let keep = Keep { idle_max: IDLE_MAX, trusted: IDLE_TRUSTED, connect_timeout: timeout };
+        let connections = Pool::new(address, keep);
+        Self { timeout, connections, counter: Counter::default() }
     }
 
     async fn ask(
@@ -53,39 +46,9 @@
         body: &[u8],
         wait: Millis,
     ) -> Result<http::Answer, Error> {
-        let mut connection = self.connection().await?;
         let timeout = self.timeout + wait;
         let question = Question { method, path, headers: &[], body, timeout };
-        match connection.ask(&question).await {
-            Ok(answer) => {
-                self.keep(connection);
-                Ok(answer)
-            }
-            Err(error) => {
-                connection.close();
-                Err(error.into())
-            }
-        }
-    }
-
-    async fn connection(&self) -> Result<Connection, Error> {
-        loop {
-            let idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner).pop();
-            let Some(idle) = idle else { break };
-            let trusted = idle.since.elapsed() < IDLE_TRUSTED.duration();
-            if trusted && !idle.connection.is_stale().await {
-                return Ok(idle.connection);
-            }
-            idle.connection.close();
-        }
-        Ok(Connection::open(self.address, self.timeout).await?)
-    }
-
-    fn keep(&self, connection: Connection) {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        if idle.len() < IDLE_MAX {
-            idle.push(Idle { connection, since: Instant::now() });
-        }
+        Ok(self.connections.ask(&question).await?)
     }
 
     async fn watch_path<T: DeserializeOwned>(
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -12,7 +12,7 @@
 
 use crate::clock::Millis;
 
-pub use calls::Calls;
+pub use calls::{Calls, Counter};
 pub use consul::Consul;
 pub use memory::Memory;
 pub use pace::{Pace, WATCH_WAIT};
--- /dev/null
+++ b/src/vm/core.rs
@@ -0,0 +1,125 @@
+//! What is behind the lock: the scheduler, the view of owners, and who waits for which batch.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+
+use smol::channel::{self, Receiver, Sender};
+
+use crate::batch::{Outcome, Spec};
+use crate::clock::Millis;
+use crate::job::Incarnation;
+use crate::ownership::Ownership;
+use crate::schedule::{Action, Engine, Event, JobId, Load};
+
+/// The state that decisions are made on.
+#[derive(Debug)]
+pub(super) struct Core {
+    pub engine: Engine,
+    pub ownership: Ownership,
+    /// What the other VMs said of their load.
+    pub loads: BTreeMap<Incarnation, Load>,
+    /// The highest round that any VM has named.
+    pub round: u64,
+    waiting: HashMap<JobId, Sender<Outcome>>,
+    /// Batches that other VMs passed on, by the VM and its number.
+    passed_on: HashMap<(Incarnation, u64), JobId>,
+    next_job: JobId,
+}
+
+/// What is to be done outside the lock.
+#[derive(Debug, Default)]
+pub(super) struct Work {
+    /// Calls to targets.
+    pub calls: Vec<Action>,
+    /// Whether what this VM owns has changed.
+    pub owns_changed: bool,
+    /// Targets that were gained.
+    pub gained: Vec<Arc<str>>,
+    /// Targets that were left, and whether another VM took them.
+    pub left: Vec<(Arc<str>, bool)>,
+}
+
+impl Core {
+    pub fn new(engine: Engine, ownership: Ownership) -> Self {
+        Self {
+            engine,
+            ownership,
+            loads: BTreeMap::new(),
+            round: 0,
+            waiting: HashMap::new(),
+            passed_on: HashMap::new(),
+            next_job: 1,
+        }
+    }
+
+    /// Gives one event to the scheduler and sorts out what it says.
+    pub fn handle(&mut self, now: Millis, event: Event, work: &mut Work) {
+        let mut actions = Vec::new();
+        self.engine.handle(now, event, &mut actions);
+        for action in actions {
+            match action {
+                Action::End { job, outcome } => self.finish(job, outcome),
+                Action::Owned { target } => {
+                    self.ownership.gain(&target);
+                    work.owns_changed = true;
+                    work.gained.push(target);
+                }
+                Action::Left { target, fenced } => {
+                    self.ownership.lose(now, &target, fenced);
+                    work.owns_changed = true;
+                    work.left.push((target, fenced));
+                }
+                call => work.calls.push(call),
+            }
+        }
+    }
+
+    /// Hands a batch to the scheduler; its outcome comes on the channel.
+    pub fn submit(
+        &mut self,
+        now: Millis,
+        spec: Arc<Spec>,
+        age: Millis,
+        patience: Millis,
+        work: &mut Work,
+    ) -> (JobId, Receiver<Outcome>) {
+        let job = self.next_job;
+        self.next_job += 1;
+        let (sender, outcome) = channel::bounded(1);
+        self.waiting.insert(job, sender);
+        self.handle(now, Event::Submit { job, spec, age, patience }, work);
+        (job, outcome)
+    }
+
+    /// Notes for whom a batch runs.
+    pub fn pass_on(&mut self, from: Incarnation, number: u64, job: JobId) {
+        if self.waiting.contains_key(&job) {
+            self.passed_on.insert((from, number), job);
+        }
+    }
+
+    /// The batch that another VM passed on.
+    pub fn passed_on(&mut self, from: Incarnation, number: u64) -> Option<JobId> {
+        self.passed_on.remove(&(from, number))
+    }
+
+    /// All batches that another VM passed on.
+    pub fn passed_on_by(&mut self, from: Incarnation) -> Vec<JobId> {
+        let of_vm = self.passed_on.extract_if(|(vm, _), _| *vm == from);
+        of_vm.map(|(_, job)| job).collect()
+    }
+
+    /// Gives a batch up.
+    pub fn abandon(&mut self, now: Millis, job: JobId, work: &mut Work) {
+        if self.waiting.remove(&job).is_some() {
+            self.handle(now, Event::Abandon { job }, work);
+        }
+    }
+
+    fn finish(&mut self, job: JobId, outcome: Outcome) {
+        self.passed_on.retain(|_, known| *known != job);
+        if let Some(waiting) = self.waiting.remove(&job) {
+            drop(waiting.try_send(outcome));
+        }
+    }
+}
--- /dev/null
+++ b/src/vm/follow.rs
@@ -0,0 +1,111 @@
+//! Follows the configuration and the targets in the store, each by one waiting call.
+
+use std::sync::Arc;
+
+use crate::clock::Millis;
+use crate::event;
+use crate::membership;
+use crate::metrics::Gauge;
+use crate::store::{Entry, Index, Pace};
+use crate::wire::{Call, Reply};
+
+use crate::job::Incarnation;
+
+use super::node::Node;
+
+/// How long a watch waits. A watch whose connection went silent is remade after it, and a change has to be in
+/// force within two to three seconds.
+const WATCH_WAIT: Millis = Millis(3000);
+
+impl Node {
+    /// Follows the configuration for ever.
+    pub(super) async fn follow_routes(self: Arc<Self>) {
+        let mut pace = Pace::new("routes");
+        loop {
+            let read = self.store.watch(self.adapter.routes_key(), pace.index(), WATCH_WAIT).await;
+            let given = read.map(|read| {
+                if let Some(entry) = read.value.filter(|_| read.index != pace.index()) {
+                    self.offer_routes(&entry.value, "store");
+                }
+                read.index
+            });
+            pace.settle(given).await;
+        }
+    }
+
+    /// Follows the targets for ever.
+    pub(super) async fn follow_targets(self: Arc<Self>) {
+        let mut pace = Pace::new("targets");
+        let mut known = Vec::<Entry>::new();
+        loop {
+            let prefix = self.adapter.targets_prefix();
+            let read = self.store.list(prefix, pace.index(), WATCH_WAIT).await;
+            let given = read.map(|read| {
+                if read.value != known {
+                    known = read.value;
+                    let sites = known.iter().filter_map(|entry| self.adapter.target(entry));
+                    self.set_targets(sites.collect());
+                }
+                read.index
+            });
+            pace.settle::<crate::store::Error>(given as Result<Index, _>).await;
+        }
+    }
+
+    /// Follows the other VMs' registrations for ever.
+    pub(super) async fn follow_members(self: Arc<Self>) {
+        let prefix = &self.settings.prefix;
+        membership::watch_members(&self.membership, &*self.store, prefix, WATCH_WAIT).await;
+    }
+
+    /// Dials VMs that are new, and looks at who owns what after each change.
+    pub(super) async fn follow_view(self: Arc<Self>) {
+        let mut versions = membership::Versions::default();
+        loop {
+            let view = self.membership.after(versions).await;
+            versions = view.versions();
+            let handler = Arc::clone(&self) as Arc<dyn crate::peer::Handler>;
+            for member in view.members.value.values() {
+                self.links.know(member.peers, &handler);
+            }
+            self.review();
+        }
+    }
+
+    /// Takes a configuration if it is newer than what is in force.
+    pub(super) fn offer_routes(&self, text: &[u8], source: &str) {
+        let table = match self.adapter.routes(text) {
+            Ok(table) => table,
+            Err(reason) => {
+                event!(warn, "routes-unreadable", source = source, reason = reason);
+                return;
+            }
+        };
+        let version = table.version;
+        let known = self.routes.load();
+        if version <= known.version {
+            return;
+        }
+        event!(
+            info,
+            "routes-applied",
+            version = version,
+            was = known.version,
+            source = source,
+            routes = table.len()
+        );
+        self.routes_text.store(Arc::new(text.to_vec()));
+        self.routes.store(Arc::new(table));
+        self.metrics.set(Gauge::RoutesVersion, version);
+    }
+
+    /// Asks a VM that has newer routes for them.
+    pub(super) async fn fetch_routes(self: Arc<Self>, from: Incarnation) {
+        let Some(link) = self.links.get(from) else { return };
+        if let Ok(Reply::Routes(text)) = link.call(Call::Routes).await
+            && !text.is_empty()
+        {
+            self.offer_routes(&text, &link.hello.vm);
+        }
+    }
+}
--- /dev/null
+++ b/src/vm/node.rs
@@ -0,0 +1,404 @@
+//! One VM: what its tasks share.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use arc_swap::ArcSwap;
+use event_listener::Event as Signal;
+use smol::Timer;
+use smol::future::FutureExt as _;
+
+use crate::clock::{Clock, Millis};
+use crate::event;
+use crate::http::server::Traffic;
+use crate::job::Incarnation;
+use crate::membership::Membership;
+use crate::metrics::{Counter, Gauge, Metrics};
+use crate::ownership::{Ownership, Peer, Place};
+use crate::peer::Links;
+use crate::route::Table;
+use crate::runtime;
+use crate::schedule::{Action, Engine, Event, JobId, Rules};
+use crate::settings::Lease;
+use crate::store::Store;
+
+use super::adapter::{Adapter, Runner, Site};
+use super::core::{Core, Work};
+
+/// The longest time between two ticks.
+const TICK_MAX: Millis = Millis(250);
+
+/// What a VM is told at its start.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Its name.
+    pub vm: String,
+    /// Its failure domain.
+    pub domain: String,
+    /// Its region.
+    pub region: String,
+    /// Where other VMs reach it.
+    pub peers: SocketAddr,
+    /// Where callers reach it.
+    pub callers: SocketAddr,
+    /// VMs to ask first, for a start while the store is out.
+    pub seeds: Vec<SocketAddr>,
+    /// What all its own keys in the store start with.
+    pub prefix: String,
+    /// Its registration in the store.
+    pub lease: Lease,
+    /// How links prove that they live.
+    pub heartbeat: crate::peer::Rules,
+    /// How the platform's targets behave.
+    pub rules: Rules,
+    /// How long a planned stop takes at least, so that nobody still sends callers.
+    pub stop_min: Millis,
+    /// How long it takes at most.
+    pub stop_max: Millis,
+    /// Where metrics are served.
+    pub metrics: SocketAddr,
+}
+
+/// A running VM.
+#[derive(Debug)]
+pub struct Node {
+    /// What it was told.
+    pub settings: Settings,
+    /// Its run.
+    pub incarnation: Incarnation,
+    /// Its links to the other VMs.
+    pub links: Arc<Links>,
+    /// The platform's store.
+    pub store: Arc<dyn Store>,
+    /// The other VMs.
+    pub membership: Membership,
+    /// What the callers' server is doing.
+    pub traffic: Arc<Traffic>,
+    /// What is counted.
+    pub metrics: Arc<Metrics>,
+    pub(super) adapter: Arc<dyn Adapter>,
+    pub(super) clock: Clock,
+    core: Mutex<Core>,
+    runners: Mutex<HashMap<Arc<str>, (Site, Arc<dyn Runner>)>>,
+    /// The racks' failure domains, the targets' too.
+    pub(super) places: ArcSwap<Places>,
+    pub(super) routes: ArcSwap<Table>,
+    /// The text that the routes were read from.
+    pub(super) routes_text: ArcSwap<Vec<u8>>,
+    /// Addresses of VMs at which nothing listens.
+    pub(super) refused: Mutex<BTreeSet<SocketAddr>>,
+    /// Batches to give up: their links have ended.
+    pub(super) abandoned: Mutex<Vec<JobId>>,
+    draining: AtomicBool,
+    pub(super) next_number: AtomicU64,
+    /// Something changed by which a batch may find an owner.
+    pub(super) owners_changed: Signal,
+    earlier: Signal,
+    /// When the ticker ticks next, in milliseconds of the clock.
+    next_tick: AtomicU64,
+}
+
+/// Which targets stand on which rack.
+#[derive(Debug, Default)]
+pub(super) struct Places {
+    pub racks: BTreeMap<String, Vec<Arc<str>>>,
+    pub domains: BTreeMap<Arc<str>, Arc<str>>,
+}
+
+impl Node {
+    /// A VM that has no routes and no links yet.
+    pub fn new(
+        settings: Settings,
+        incarnation: Incarnation,
+        links: Arc<Links>,
+        store: Arc<dyn Store>,
+        adapter: Arc<dyn Adapter>,
+        membership: Membership,
+    ) -> Self {
+        let engine = Engine::new(incarnation.0, settings.rules);
+        let ownership = Ownership::new(&settings.vm, &settings.domain);
+        Self {
+            incarnation,
+            links,
+            store,
+            membership,
+            traffic: Arc::default(),
+            metrics: Arc::default(),
+            adapter,
+            clock: Clock::start(),
+            core: Mutex::new(Core::new(engine, ownership)),
+            runners: Mutex::default(),
+            places: ArcSwap::default(),
+            routes: ArcSwap::default(),
+            routes_text: ArcSwap::default(),
+            refused: Mutex::default(),
+            abandoned: Mutex::default(),
+            draining: AtomicBool::new(false),
+            next_number: AtomicU64::new(1),
+            owners_changed: Signal::new(),
+            earlier: Signal::new(),
+            next_tick: AtomicU64::new(0),
+            settings,
+        }
+    }
+
+    /// The time since the VM was started.
+    pub fn now(&self) -> Millis {
+        self.clock.now()
+    }
+
+    /// The routes in force.
+    pub fn routes(&self) -> Arc<Table> {
+        self.routes.load_full()
+    }
+
+    /// Whether the VM is being stopped.
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Relaxed)
+    }
+
+    /// Whether callers are to be sent here.
+    pub fn is_ready(&self) -> bool {
+        !self.is_draining() && self.routes.load().version > 0
+    }
+
+    /// How many batches have no end yet.
+    pub fn unfinished(&self) -> usize {
+        self.lock().engine.unfinished()
+    }
+
+    /// How many batches of a queue have not started here.
+    pub fn pending(&self, queue: &str) -> usize {
+        self.lock().engine.pending(queue)
+    }
+
+    pub(super) fn lock(&self) -> MutexGuard<'_, Core> {
+        self.core.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Gives one event to the scheduler and does what it says.
+    pub(super) fn handle(self: &Arc<Self>, event: Event) {
+        self.with_core(|core, now, work| core.handle(now, event, work));
+    }
+
+    /// Changes the core and does what follows outside the lock.
+    pub(super) fn with_core<T>(
+        self: &Arc<Self>,
+        change: impl FnOnce(&mut Core, Millis, &mut Work) -> T,
+    ) -> T {
+        let mut work = Work::default();
+        let result = {
+            let mut core = self.lock();
+            let now = self.clock.now();
+            let result = change(&mut core, now, &mut work);
+            let wake = core.engine.wake(now);
+            if wake.is_some_and(|wake| wake.0 < self.next_tick.load(Ordering::Relaxed)) {
+                self.wake_early();
+            }
+            result
+        };
+        self.execute(work);
+        result
+    }
+
+    fn execute(self: &Arc<Self>, work: Work) {
+        for target in &work.gained {
+            self.metrics.count(Counter::TargetsTaken);
+            event!(info, "target-owned", target = target);
+        }
+        for (target, fenced) in &work.left {
+            self.metrics.count(if *fenced { Counter::TargetsFenced } else { Counter::TargetsLeft });
+            event!(info, "target-left", target = target, fenced = fenced);
+        }
+        for call in work.calls {
+            self.call(call);
+        }
+        if work.owns_changed {
+            self.owners_changed.notify(usize::MAX);
+            self.tell_owns();
+        }
+    }
+
+    /// Makes a call to a target, and gives its answer to the scheduler.
+    fn call(self: &Arc<Self>, action: Action) {
+        let (order, target) = match &action {
+            Action::Start { order, target, .. } => {
+                self.metrics.count(Counter::LeasedStarts);
+                (*order, target)
+            }
+            Action::Stop { order, target, .. } => {
+                self.metrics.count(Counter::LeasedStops);
+                (*order, target)
+            }
+            Action::Hold { order, target, .. } => {
+                self.metrics.count(Counter::LeasedHolds);
+                (*order, target)
+            }
+            Action::End { .. } | Action::Owned { .. } | Action::Left { .. } => return,
+        };
+        let runners = self.runners.lock().unwrap_or_else(PoisonError::into_inner);
+        let Some((_, runner)) = runners.get(target) else { return };
+        let calling = Arc::clone(runner).call(action);
+        drop(runners);
+        let node = Arc::clone(self);
+        runtime::spawn(async move {
+            let reply = calling.await;
+            node.handle(Event::Answer { order, reply });
+        })
+        .detach();
+    }
+
+    /// Takes the targets that the store lists.
+    pub(super) fn set_targets(self: &Arc<Self>, sites: Vec<Site>) {
+        let mut places = Places::default();
+        let mut owned_places = BTreeMap::new();
+        {
+            let mut runners = self.runners.lock().unwrap_or_else(PoisonError::into_inner);
+            for site in &sites {
+                let listing = &site.listing;
+                let id = Arc::clone(&listing.id);
+                let place =
+                    Place { domain: Arc::clone(&listing.domain), wanted: !listing.draining };
+                owned_places.insert(Arc::clone(&id), place);
+                places.domains.insert(Arc::clone(&id), Arc::clone(&listing.domain));
+                if let Some(rack) = &listing.rack {
+                    places.racks.entry(rack.to_string()).or_default().push(Arc::clone(&id));
+                }
+                let is_new =
+                    runners.get(&id).is_none_or(|(known, _)| known.address != site.address);
+                if is_new {
+                    runners.insert(id, (site.clone(), self.adapter.runner(site)));
+                }
+            }
+        }
+        self.places.store(Arc::new(places));
+        let listings = sites.into_iter().map(|site| site.listing).collect();
+        self.with_core(|core, now, work| {
+            core.ownership.set_targets(owned_places);
+            core.handle(now, Event::Targets(listings), work);
+        });
+        self.review();
+    }
+
+    /// Brings the view of the other VMs up to date, and takes the targets that this VM should own.
+    pub(super) fn review(self: &Arc<Self>) {
+        let peers = self.known_peers();
+        self.with_core(|core, now, work| {
+            core.ownership.set_peers(now, peers);
+            core.loads.retain(|vm, _| core.ownership.alive().any(|(id, _)| id == *vm));
+            for target in core.ownership.to_take(now) {
+                let round = core.round;
+                core.handle(now, Event::Take { target, round }, work);
+            }
+        });
+    }
+
+    fn known_peers(&self) -> BTreeMap<Incarnation, Peer> {
+        let (up, view) = (self.links.up(), self.membership.view());
+        let refused = self.refused.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut peers = BTreeMap::new();
+        for (&id, member) in &view.members.value {
+            if id == self.incarnation {
+                continue;
+            }
+            let peer = Peer {
+                vm: Arc::from(member.vm.as_str()),
+                domain: Arc::from(member.domain.as_str()),
+                registered: true,
+                linked: up.contains_key(&id),
+                draining: member.draining,
+                refused: refused.contains(&member.peers),
+                says_draining: false,
+                owns: None,
+                known_since: Millis::ZERO,
+            };
+            peers.insert(id, peer);
+        }
+        for (&id, link) in up.iter() {
+            peers.entry(id).or_insert_with(|| Peer {
+                vm: Arc::from(link.hello.vm.as_str()),
+                domain: Arc::from(link.hello.domain.as_str()),
+                registered: false,
+                linked: true,
+                draining: false,
+                refused: false,
+                says_draining: false,
+                owns: None,
+                known_since: Millis::ZERO,
+            });
+        }
+        peers
+    }
+
+    /// All metrics as text, one a line.
+    pub fn metrics_text(&self) -> String {
+        let load = self.lock().engine.load(self.clock.now());
+        let owned = self.lock().engine.owned().count() as u64;
+        self.metrics.set(Gauge::TargetsOwned, owned);
+        self.metrics.set(Gauge::CpuFree, load.free_cpu);
+        self.metrics.set(Gauge::Backlog, load.backlog.0);
+        self.metrics.set(Gauge::PeersLinked, self.links.up().len() as u64);
+        self.metrics.set(Gauge::RequestsBusy, self.traffic.busy() as u64);
+        self.metrics.set(Gauge::ConnectionsOpen, self.traffic.open() as u64);
+        self.metrics.set(Gauge::Draining, u64::from(self.is_draining()));
+        let calls = self.store.calls();
+        self.metrics.raise(Counter::StoreReads, calls.reads);
+        self.metrics.raise(Counter::StoreWrites, calls.writes);
+        self.metrics.raise(Counter::StoreWatches, calls.watches);
+        self.metrics.text()
+    }
+
+    /// Keeps the scheduler's time going, and looks at who owns what.
+    pub(super) async fn tick(self: Arc<Self>) {
+        let mut reviewed = Millis::ZERO;
+        loop {
+            let now = self.clock.now();
+            let wake = self.lock().engine.wake(now).unwrap_or(now + TICK_MAX);
+            self.next_tick.store(wake.0, Ordering::Relaxed);
+            let earlier = self.earlier.listen();
+            let timer = async {
+                Timer::after((wake - now).duration()).await;
+            };
+            timer.or(earlier).await;
+            if self.clock.now() < wake && self.lock().engine.wake(self.clock.now()).is_some() {
+                // An idle engine got work: its ticks begin now.
+                self.next_tick.store(0, Ordering::Relaxed);
+            }
+            self.give_up_abandoned();
+            self.handle(Event::Tick);
+            if self.clock.now() - reviewed >= TICK_MAX {
+                reviewed = self.clock.now();
+                self.review();
+            }
+        }
+    }
+
+    /// Makes the next tick come at once.
+    pub(super) fn wake_early(&self) {
+        self.earlier.notify(1);
+    }
+
+    fn give_up_abandoned(self: &Arc<Self>) {
+        let mut abandoned = self.abandoned.lock().unwrap_or_else(PoisonError::into_inner);
+        let jobs = std::mem::take(&mut *abandoned);
+        drop(abandoned);
+        self.with_core(|core, now, work| {
+            for job in jobs {
+                core.abandon(now, job, work);
+            }
+        });
+    }
+
+    /// Stops taking targets, and lets go of those that are idle.
+    pub(super) fn drain(self: &Arc<Self>) {
+        self.draining.store(true, Ordering::Relaxed);
+        self.membership.drain();
+        self.with_core(|core, now, work| {
+            core.ownership.drain();
+            core.handle(now, Event::Drain, work);
+            work.owns_changed = true;
+        });
+    }
+}
--- /dev/null
+++ b/src/vm/start.rs
@@ -0,0 +1,172 @@
+//! The start of a VM.
+
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use smol::Timer;
+use smol::net::TcpListener;
+
+use crate::clock::Millis;
+use crate::event;
+use crate::http::server::{self, Handler as Server, Traffic};
+use crate::invariant;
+use crate::job::Incarnation;
+use crate::membership::{self, Membership, Registration};
+use crate::peer::{Handler, Links};
+use crate::runtime;
+use crate::serve::signals;
+use crate::store::Store;
+use crate::wire::{Hello, VERSION};
+
+use super::adapter::Adapter;
+use super::node::{Node, Settings};
+use super::stop;
+
+/// The pause after a connection that could not be accepted.
+const ACCEPT_PAUSE: Millis = Millis(20);
+
+/// The most connections of callers at once.
+const CONNECTIONS_MAX: usize = 2000;
+
+/// How long the head of a request may take, an idle connection's wait included.
+const HEAD_TIMEOUT: Millis = Millis::from_secs(60);
+
+/// Why a VM could not run.
+#[derive(Debug)]
+pub enum Error {
+    /// An address can't be listened on.
+    Listen(SocketAddr, io::Error),
+    /// The system refused a thread, a signal handler or another thing that a start needs.
+    System(io::Error),
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Listen(address, error) => {
+                write!(f, "can't listen on {address}: {error}; choose a free address")
+            }
+            Self::System(error) => {
+                write!(f, "the system refused something: {error}; raise its limits")
+            }
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+impl From<io::Error> for Error {
+    fn from(error: io::Error) -> Self {
+        Self::System(error)
+    }
+}
+
+/// The HTTP servers of a VM, as the platform wants them.
+pub trait Fronts: fmt::Debug + Send + Sync {
+    /// The addresses to listen on, with what answers there.
+    fn servers(&self, node: &Arc<Node>) -> Vec<(SocketAddr, Arc<dyn Server>)>;
+}
+
+/// Runs a VM until it is stopped.
+pub fn run(
+    settings: Settings,
+    store: Arc<dyn Store>,
+    adapter: Arc<dyn Adapter>,
+    fronts: &dyn Fronts,
+) -> Result<(), Error> {
+    invariant::exit_on_panic();
+    runtime::block_on(async {
+        let signals = signals()?;
+        let node = start(settings, store, adapter, fronts).await?;
+        stop::run(&node, signals).await;
+        Ok(())
+    })
+}
+
+async fn start(
+    settings: Settings,
+    store: Arc<dyn Store>,
+    adapter: Arc<dyn Adapter>,
+    fronts: &dyn Fronts,
+) -> Result<Arc<Node>, Error> {
+    let incarnation = Incarnation::draw();
+    let peers = listen(settings.peers).await?;
+    let hello = Hello {
+        version: VERSION,
+        vm: settings.vm.clone(),
+        incarnation,
+        domain: settings.domain.clone(),
+        peers: settings.peers,
+    };
+    let membership = Membership::new(Registration {
+        vm: settings.vm.clone(),
+        domain: settings.domain.clone(),
+        region: settings.region.clone(),
+        incarnation,
+        callers: settings.callers,
+        peers: settings.peers,
+        draining: false,
+    });
+    let links = Arc::new(Links::new(hello, settings.heartbeat));
+    let node = Arc::new(Node::new(settings, incarnation, links, store, adapter, membership));
+    event!(
+        info,
+        "started",
+        vm = node.settings.vm,
+        domain = node.settings.domain,
+        incarnation = incarnation
+    );
+    runtime::spawn(serve_peers(Arc::clone(&node), peers)).detach();
+    runtime::spawn(keep_lease(Arc::clone(&node))).detach();
+    runtime::spawn(Arc::clone(&node).follow_routes()).detach();
+    runtime::spawn(Arc::clone(&node).follow_targets()).detach();
+    runtime::spawn(Arc::clone(&node).follow_members()).detach();
+    runtime::spawn(Arc::clone(&node).follow_view()).detach();
+    runtime::spawn(Arc::clone(&node).tick()).detach();
+    runtime::spawn(Arc::clone(&node).tell_busy()).detach();
+    let handler = Arc::clone(&node) as Arc<dyn Handler>;
+    for &address in &node.settings.seeds {
+        node.links.know(address, &handler);
+    }
+    for (address, server) in fronts.servers(&node) {
+        let listener = listen(address).await?;
+        let is_callers = address == node.settings.callers;
+        let traffic = if is_callers { Arc::clone(&node.traffic) } else { Arc::default() };
+        runtime::spawn(serve_front(listener, traffic, server)).detach();
+    }
+    Ok(node)
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
+    TcpListener::bind(address).await.map_err(|error| Error::Listen(address, error))
+}
+
+async fn serve_front(listener: TcpListener, traffic: Arc<Traffic>, handler: Arc<dyn Server>) {
+    let rules = server::Rules { connections_max: CONNECTIONS_MAX, head_timeout: HEAD_TIMEOUT };
+    let ended = server::serve(listener, rules, traffic, handler).await;
+    invariant!(ended.is_ok(), "a listener failed: {ended:?}");
+}
+
+async fn keep_lease(node: Arc<Node>) {
+    let prefix = &node.settings.prefix;
+    membership::keep_lease(&node.membership, &*node.store, prefix, node.settings.lease).await;
+}
+
+async fn serve_peers(node: Arc<Node>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            Timer::after(ACCEPT_PAUSE.duration()).await;
+            continue;
+        };
+        let node = Arc::clone(&node);
+        runtime::spawn(async move {
+            let handler = Arc::clone(&node) as Arc<dyn Handler>;
+            if let Err(why) = node.links.serve(stream, &handler).await {
+                event!(debug, "link-closed", reason = why);
+            }
+        })
+        .detach();
+    }
+}
--- /dev/null
+++ b/src/vm/submit.rs
@@ -0,0 +1,234 @@
+//! The path of a batch: to an owner of targets, here or on another VM, and back to its caller.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use smol::Timer;
+use smol::future::FutureExt as _;
+
+use crate::batch::{Outcome, Refusal, Spec};
+use crate::clock::Millis;
+use crate::event;
+use crate::job::Incarnation;
+use crate::metrics::{Counter, Timer as Timing};
+use crate::peer::Link;
+use crate::schedule::{JobId, Load};
+use crate::wire::{Call, Note, Reply};
+
+use super::node::Node;
+
+/// How long a batch waits for any VM to own targets, as just after a start.
+const OWNER_WAIT_MAX: Millis = Millis(400);
+
+/// What another VM is sent rather than this one must be shorter by, so that a batch doesn't travel for nothing.
+const AWAY_COST: Millis = Millis(10);
+
+/// The most VMs that are tried for one batch.
+const TRIES_MAX: usize = 4;
+
+/// When a refused caller may come back where no VM owns targets.
+const UNOWNED_RETRY: Millis = Millis(1000);
+
+/// How long after the end of a link everything has surely ended that ran for it: the other VM notices the
+/// silence and stops it, or is gone and leases lapse.
+const LINK_REMAINS: Millis = Millis(1150);
+
+/// How long a submission may wait.
+#[derive(Clone, Copy, Debug)]
+pub struct Wait {
+    /// When it came.
+    pub since: Millis,
+    /// When its caller leaves.
+    pub until: Millis,
+}
+
+/// Who runs a batch.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Owner {
+    Own,
+    Peer(Incarnation),
+}
+
+impl Node {
+    /// Runs a batch and waits for its end. Dropped before that, what runs is stopped.
+    pub async fn submit(self: &Arc<Self>, spec: Spec, wait: Wait) -> Outcome {
+        let spec = Arc::new(spec);
+        let outcome = self.run_somewhere(&spec, wait).await;
+        let took = self.now() - wait.since;
+        self.metrics.time(Timing::Batch, took);
+        self.metrics.count(match outcome {
+            Outcome::Done => Counter::BatchesDone,
+            Outcome::Failed => Counter::BatchesFailed,
+            Outcome::Expired => Counter::BatchesExpired,
+            _ => Counter::BatchesRefused,
+        });
+        outcome
+    }
+
+    async fn run_somewhere(self: &Arc<Self>, spec: &Arc<Spec>, wait: Wait) -> Outcome {
+        let mut tried = BTreeSet::new();
+        let mut has_started = false;
+        let mut refused = None;
+        loop {
+            if self.now() >= wait.until {
+                return Outcome::Expired;
+            }
+            let Some(owner) = self.find_owner(spec, &tried, wait).await else { break };
+            let outcome = match owner {
+                Owner::Own => self.run_here(spec, wait).await,
+                Owner::Peer(vm) => self.run_there(vm, spec, wait).await,
+            };
+            tried.insert(owner);
+            match outcome {
+                Outcome::Moved => {}
+                Outcome::Interrupted => {
+                    has_started = true;
+                    tried.clear();
+                }
+                Outcome::Refused { .. } => refused = Some(outcome),
+                ended => return ended,
+            }
+            event!(info, "batch-again", job = spec.id, tried = tried.len(), started = has_started);
+            if tried.len() >= TRIES_MAX {
+                break;
+            }
+        }
+        let unowned = Outcome::Refused { reason: Refusal::Unowned, retry_after: UNOWNED_RETRY };
+        if has_started { Outcome::Expired } else { refused.unwrap_or(unowned) }
+    }
+
+    /// The owner for a batch. Where none is known yet, waits a little for one.
+    async fn find_owner(&self, spec: &Spec, tried: &BTreeSet<Owner>, wait: Wait) -> Option<Owner> {
+        let find = async {
+            loop {
+                let changed = self.owners_changed.listen();
+                if let Some(owner) = self.choose_owner(spec, tried) {
+                    return Some(owner);
+                }
+                if !tried.is_empty() {
+                    return None;
+                }
+                changed.await;
+            }
+        };
+        let late = async {
+            let most = (wait.until - self.now()).min(OWNER_WAIT_MAX);
+            Timer::after(most.duration()).await;
+            None
+        };
+        find.or(late).await
+    }
+
+    /// The VM that can begin soonest, of those that own targets on the batch's rack if it names one.
+    fn choose_owner(&self, spec: &Spec, tried: &BTreeSet<Owner>) -> Option<Owner> {
+        let places = self.places.load();
+        let rack = spec.steps.iter().find_map(|step| step.near_rack.as_ref());
+        let near = rack.and_then(|rack| places.racks.get(rack));
+        let core = self.lock();
+        let own = core.engine.load(self.clock.now());
+        let mut candidates = Vec::<(Owner, Load, bool)>::new();
+        if own.total_cpu > 0 {
+            let is_near = near.is_some_and(|targets| {
+                targets.iter().any(|target| core.ownership.own().contains(target))
+            });
+            candidates.push((Owner::Own, own, is_near));
+        }
+        for (vm, peer) in core.ownership.alive() {
+            let Some(owns) = peer.owns.as_ref().filter(|_| peer.linked && !peer.draining) else {
+                continue;
+            };
+            let Some(load) = core.loads.get(&vm).filter(|load| load.total_cpu > 0) else {
+                continue;
+            };
+            let is_near = match near {
+                Some(targets) => targets.iter().any(|target| owns.contains(target)),
+                None => *peer.domain == *self.settings.domain,
+            };
+            candidates.push((Owner::Peer(vm), *load, is_near));
+        }
+        drop(core);
+        candidates.retain(|(owner, ..)| !tried.contains(owner));
+        let need = spec.steps.first().map_or(0, |step| step.need.cpu);
+        candidates
+            .into_iter()
+            .min_by_key(|(owner, load, is_near)| cost(*owner, load, *is_near, need))
+            .map(|(owner, ..)| owner)
+    }
+
+    async fn run_here(self: &Arc<Self>, spec: &Arc<Spec>, wait: Wait) -> Outcome {
+        let (job, outcome) = self.with_core(|core, now, work| {
+            core.submit(now, Arc::clone(spec), now - wait.since, wait.until - now, work)
+        });
+        let guard = Guard { node: self, running: Running::Here(job) };
+        let outcome = outcome.recv().await.unwrap_or(Outcome::Expired);
+        guard.close();
+        outcome
+    }
+
+    async fn run_there(self: &Arc<Self>, vm: Incarnation, spec: &Arc<Spec>, wait: Wait) -> Outcome {
+        let Some(link) = self.links.get(vm) else { return Outcome::Moved };
+        let number = self.next_number.fetch_add(1, Ordering::Relaxed);
+        let now = self.now();
+        let (age, patience) = (now - wait.since, wait.until - now);
+        let guard = Guard { node: self, running: Running::There(Arc::clone(&link), number) };
+        let call = Call::Batch { number, spec: Spec::clone(spec), age, patience };
+        let reply = link.call(call).await;
+        guard.close();
+        match reply {
+            Ok(Reply::Batch(outcome)) => outcome,
+            Ok(_) => Outcome::Moved,
+            Err(cut) => {
+                event!(warn, "batch-cut", job = spec.id, vm = link.hello.vm, reason = cut);
+                Timer::after(LINK_REMAINS.duration()).await;
+                Outcome::Interrupted
+            }
+        }
+    }
+}
+
+/// What an owner costs a batch: the smallest is taken.
+fn cost(owner: Owner, load: &Load, is_near: bool, need: u64) -> (Millis, u64) {
+    let away = match owner {
+        Owner::Own => Millis::ZERO,
+        Owner::Peer(_) if is_near => Millis::ZERO,
+        Owner::Peer(_) => AWAY_COST,
+    };
+    let is_full = load.free_cpu < need;
+    let full = if is_full { AWAY_COST } else { Millis::ZERO };
+    let used = load.total_cpu - load.free_cpu.min(load.total_cpu);
+    (load.backlog + away + full, used * 100 / load.total_cpu.max(1))
+}
+
+/// Stops a batch whose caller has left.
+struct Guard<'a> {
+    node: &'a Arc<Node>,
+    running: Running,
+}
+
+enum Running {
+    Here(JobId),
+    There(Arc<Link>, u64),
+    Nowhere,
+}
+
+impl Guard<'_> {
+    /// Ends the watch: the batch has ended by itself.
+    fn close(mut self) {
+        self.running = Running::Nowhere;
+    }
+}
+
+impl Drop for Guard<'_> {
+    fn drop(&mut self) {
+        match &self.running {
+            Running::Here(job) => {
+                let job = *job;
+                self.node.with_core(|core, now, work| core.abandon(now, job, work));
+            }
+            Running::There(link, number) => link.note(Note::Abandon { number: *number }),
+            Running::Nowhere => return,
+        }
+        self.node.metrics.count(Counter::BatchesAbandoned);
+    }
+}
--- a/src/wire/frame.rs
+++ b/src/wire/frame.rs
@@ -5,10 +5,13 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::batch;
+use crate::clock::Millis;
 use crate::config::Update;
 use crate::dispatch::{Adopted, Adoption, Report, SlotMessage, StartId};
 use crate::job::{Incarnation, Key, Outcome, Spec};
 use crate::membership::{Versions, View};
+use crate::schedule::Load;
 
 /// The version of the frames; a link is refused to a VM that speaks another.
 pub const VERSION: u32 = 1;
@@ -97,6 +100,19 @@
         /// The caller's number for the attempt.
         start: StartId,
     },
+    /// Run a batch on the targets that the other VM owns.
+    Batch {
+        /// The caller's number for it.
+        number: u64,
+        /// The batch.
+        spec: batch::Spec,
+        /// How long ago it was submitted.
+        age: Millis,
+        /// How long its submitter still waits.
+        patience: Millis,
+    },
+    /// Tell the routes in force.
+    Routes,
 }
 
 impl Call {
@@ -134,6 +150,10 @@
     Update(Update),
     /// To `View`.
     View(View),
+    /// To `Batch`.
+    Batch(batch::Outcome),
+    /// To `Routes`: the text as the platform has it; empty if none is known.
+    Routes(Vec<u8>),
 }
 
 /// News that needs no answer.
@@ -143,6 +163,35 @@
     Slots(SlotMessage),
     /// How new the sender's configuration and view are.
     News(News),
+    /// Nobody waits for a batch any longer.
+    Abandon {
+        /// The sender's number for it.
+        number: u64,
+    },
+    /// Which targets the sender owns.
+    Owns(Owns),
+    /// How busy they are.
+    Busy(Busy),
+}
+
+/// Which targets a VM owns.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Owns {
+    /// Their ids.
+    pub targets: Vec<String>,
+    /// The highest round of its tokens.
+    pub round: u64,
+    /// Whether it is being stopped.
+    pub draining: bool,
+}
+
+/// How busy a VM is.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Busy {
+    /// Its targets.
+    pub load: Load,
+    /// The version of the routes that it has.
+    pub routes: u64,
 }
 
 /// How new a VM's configuration and view are; who lacks something asks for it.
@@ -159,8 +208,12 @@
     pub const fn is_control(&self) -> bool {
         match self {
             Self::Hello(_) | Self::Beat | Self::Note(_) => true,
-            Self::Call { call, .. } => matches!(call, Call::Since { .. } | Call::View),
-            Self::Reply { reply, .. } => matches!(reply, Reply::Update(_) | Reply::View(_)),
+            Self::Call { call, .. } => {
+                matches!(call, Call::Since { .. } | Call::View | Call::Routes)
+            }
+            Self::Reply { reply, .. } => {
+                matches!(reply, Reply::Update(_) | Reply::View(_) | Reply::Routes(_))
+            }
         }
     }
 
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -2,4 +2,6 @@
 
 mod frame;
 
-pub use frame::{Call, Error, FRAME_MAX_BYTES, Frame, Hello, News, Note, Reply, Seen, VERSION};
+pub use frame::{
+    Busy, Call, Error, FRAME_MAX_BYTES, Frame, Hello, News, Note, Owns, Reply, Seen, VERSION,
+};
