--- a/src/vm/follow.rs
+++ b/src/vm/follow.rs
@@ -2,21 +2,31 @@
 
 use std::sync::Arc;
 
+use smol::Timer;
+
 use crate::clock::Millis;
 use crate::event;
 use crate::membership;
 use crate::metrics::Gauge;
-use crate::store::{Entry, Index, Pace};
+use crate::store::Pace;
 use crate::wire::{Call, Reply};
 
 use crate::job::Incarnation;
 
+use super::adapter::Site;
 use super::node::Node;
 
 /// How long a watch waits. A watch whose connection went silent is remade after it, and a change has to be in
 /// force within two to three seconds.
 const WATCH_WAIT: Millis = Millis(3000);
 
+/// The pause between two looks at the targets of a VM that owns some: one that leaves must get no tasks two
+/// seconds after it has said so.
+const TARGETS_PAUSE_OWNER: Millis = Millis(900);
+
+/// The same of a VM that owns none.
+const TARGETS_PAUSE: Millis = Millis(2000);
+
 impl Node {
     /// Follows the configuration for ever.
     pub(super) async fn follow_routes(self: Arc<Self>) {
@@ -33,22 +43,30 @@
         }
     }
 
-    /// Follows the targets for ever.
+    /// Follows the targets for ever. Each target writes its entry again and again as a sign of life, so a watch
+    /// returns at once; the pause between bounds the calls, and each brings all changes since the last.
     pub(super) async fn follow_targets(self: Arc<Self>) {
         let mut pace = Pace::new("targets");
-        let mut known = Vec::<Entry>::new();
+        let mut known = Vec::<Site>::new();
         loop {
             let prefix = self.adapter.targets_prefix();
             let read = self.store.list(prefix, pace.index(), WATCH_WAIT).await;
             let given = read.map(|read| {
-                if read.value != known {
-                    known = read.value;
-                    let sites = known.iter().filter_map(|entry| self.adapter.target(entry));
-                    self.set_targets(sites.collect());
+                let sites = read.value.iter().filter_map(|entry| self.adapter.target(entry));
+                let sites = sites.collect::<Vec<_>>();
+                if sites != known {
+                    known.clone_from(&sites);
+                    self.set_targets(sites);
                 }
                 read.index
             });
-            pace.settle::<crate::store::Error>(given as Result<Index, _>).await;
+            pace.settle(given).await;
+            let pause = if self.lock().ownership.own().is_empty() {
+                TARGETS_PAUSE
+            } else {
+                TARGETS_PAUSE_OWNER
+            };
+            Timer::after(pause.duration()).await;
         }
     }
 
