--- a/src/schedule/engine.rs
+++ b/src/schedule/engine.rs
@@ -321,7 +321,8 @@
         let running = running.map(|run| run.job).collect::<HashSet<_>>();
         let mut over = Vec::new();
         for (&id, job) in &self.jobs {
-            let is_out = now >= job.leaves || (!job.ready.is_empty() && now >= job.useful_until);
+            let is_useless = !job.started && now >= job.useful_until;
+            let is_out = now >= job.leaves || is_useless;
             if !has_targets && !running.contains(&id) {
                 over.push((id, if job.started { Outcome::Interrupted } else { Outcome::Moved }));
             } else if is_out && job.started {
