Read the settings again at SIGHUP, and stop tasks by their progress

Now the settings are read again; what can change comes into force. Targets list the progress of each task, which tells one that stands still or crawls from one that is long.

--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -84,6 +84,10 @@
         }
     }
 
+    fn settings(&self) -> Result<vm::Settings, String> {
+        Settings::load().map(|settings| settings.vm()).map_err(|fault| fault.to_string())
+    }
+
     fn runner(&self, site: &Site) -> Arc<dyn Runner> {
         Arc::new(worker::Client::new(site))
     }
--- a/src/platform/worker.rs
+++ b/src/platform/worker.rs
@@ -246,10 +246,12 @@
     }
 }
 
-/// A row of `running`: the task and the number of its start come first.
+/// A row of `running`: the task and the number of its start come first; the fourth place tells, of a task that
+/// does not last, how much of its work is done.
 fn running(row: &[serde_json::Value]) -> Option<Running> {
     let name = Name::from_str(row.first()?.as_str()?).ok()?;
-    Some(Running { name, run: number(row.get(1)?)? })
+    let progress = row.get(3).and_then(number);
+    Some(Running { name, run: number(row.get(1)?)?, progress })
 }
 
 /// A row of `ended`: the number of the end, the task, the number of its start, and how it ended.
--- a/src/schedule/engine.rs
+++ b/src/schedule/engine.rs
@@ -75,6 +75,7 @@
             Event::Targets(listings) => self.list(now, listings, actions),
             Event::Take { target, round } => self.take(now, &target, round, actions),
             Event::Answer { order, reply } => self.answer(now, order, reply, actions),
+            Event::Rules(rules) => self.rules = rules,
             Event::Drain => self.drain(now, actions),
             Event::Tick => self.tick(now, actions),
         }
@@ -305,7 +306,6 @@
     fn tick(&mut self, now: Millis, actions: &mut Vec<Action>) {
         for number in 0..self.targets.len() {
             self.lapse_runs(now, number);
-            self.stop_overdue(now, number, actions);
             self.drop_unlisted(now, number, actions);
             self.release_idle(number, actions);
             self.tend(now, number, actions);
--- a/src/schedule/event.rs
+++ b/src/schedule/event.rs
@@ -84,6 +84,8 @@
         /// How.
         reply: Reply,
     },
+    /// The platform has changed its times and factors.
+    Rules(Rules),
     /// This VM is being stopped: unstarted batches move on, and targets are released as they become idle.
     Drain,
     /// Time has passed.
@@ -137,6 +139,8 @@
     pub name: Name,
     /// Which start of it.
     pub run: u32,
+    /// How much of its work is done, in percent, if the target said.
+    pub progress: Option<u32>,
 }
 
 /// A task that has ended.
--- a/src/schedule/hold.rs
+++ b/src/schedule/hold.rs
@@ -139,6 +139,8 @@
             }
         }
         self.settle_absent(now, number, (fence, turn), &answer.running);
+        self.note_progress(now, number, &answer.running);
+        self.stop_stalled(now, number, actions);
         self.stop_strays(number, &answer.running, actions);
     }
 
--- a/src/schedule/mod.rs
+++ b/src/schedule/mod.rs
@@ -12,6 +12,7 @@
 mod placement;
 mod queue;
 mod speed;
+mod stall;
 mod target;
 
 pub use engine::Engine;
--- a/src/schedule/order.rs
+++ b/src/schedule/order.rs
@@ -9,14 +9,9 @@
 use super::event::{Action, Denial, Ending, JobId, OrderId, Reply};
 use super::fence::Fence;
 use super::speed::Sample;
+use super::stall::Progress;
 use super::target::{Phase, Run, State};
 
-/// A task that lasts this many times what is expected stands still, or its target has turned slow.
-const OVERDUE_FACTOR: f64 = 2.5;
-
-/// What a task may last beyond that: estimates of short tasks are rough.
-const OVERDUE_SLACK: Millis = Millis(150);
-
 /// A call without an answer.
 #[derive(Clone, Debug)]
 pub(super) enum Order {
@@ -92,7 +87,7 @@
             slowness,
             confirmed: 0,
             orphan: false,
-            overdue: false,
+            progress: Progress::default(),
         });
         let id = Arc::clone(&target.listing.id);
         let order = Order::Start { target: number, name: name.clone(), run, fence };
@@ -351,26 +346,6 @@
         target.health.unwell(now);
         self.drop_runs(now, number);
     }
-
-    /// Stops tasks that last far too long, so that they can run elsewhere.
-    pub(super) fn stop_overdue(&mut self, now: Millis, number: usize, actions: &mut Vec<Action>) {
-        let target = &mut self.targets[number];
-        let mut overdue = Vec::new();
-        for run in &mut target.runs {
-            let most = scaled(run.expected, OVERDUE_FACTOR) + OVERDUE_SLACK;
-            if run.state == State::Running && !run.overdue && now - run.sent > most {
-                run.overdue = true;
-                overdue.push((run.name.clone(), run.run));
-            }
-        }
-        if overdue.is_empty() || target.phase != Phase::Owned {
-            return;
-        }
-        target.health.stall(now);
-        for (name, run) in overdue {
-            self.stop(number, &name, run, actions);
-        }
-    }
 }
 
 /// Whether a target stands on another rack than the data.
--- a/src/schedule/target.rs
+++ b/src/schedule/target.rs
@@ -6,6 +6,7 @@
 use super::event::{JobId, Listing, OrderId};
 use super::fence::Fence;
 use super::speed::Track;
+use super::stall::Progress;
 
 /// Failures in a row, of different jobs, after which a target rests.
 const FAILURES_MAX: u32 = 2;
@@ -88,8 +89,7 @@
     pub confirmed: u64,
     /// Whether nobody waits for it any longer.
     pub orphan: bool,
-    /// Whether it was stopped since it lasted too long.
-    pub overdue: bool,
+    pub progress: Progress,
 }
 
 /// How far a run is.
--- a/src/serve/mod.rs
+++ b/src/serve/mod.rs
@@ -14,4 +14,3 @@
 pub use dev::dev;
 pub use node::Node;
 pub use start::{Error, run};
-pub use stop::signals;
--- a/src/vm/adapter.rs
+++ b/src/vm/adapter.rs
@@ -9,6 +9,8 @@
 use crate::schedule::{Action, Listing, Reply};
 use crate::store::Entry;
 
+use super::node::Settings;
+
 /// A call to a target that is under way.
 pub type Calling = Pin<Box<dyn Future<Output = Reply> + Send>>;
 
@@ -26,6 +28,9 @@
     /// Reads one target's entry; `None`, with a line in the log, if it names no target to use.
     fn target(&self, entry: &Entry) -> Option<Site>;
 
+    /// Reads the settings again; the error says what is wrong with them.
+    fn settings(&self) -> Result<Settings, String>;
+
     /// A client of a target.
     fn runner(&self, site: &Site) -> Arc<dyn Runner>;
 }
--- a/src/vm/start.rs
+++ b/src/vm/start.rs
@@ -16,7 +16,6 @@
 use crate::membership::{self, Membership, Registration};
 use crate::peer::{Handler, Links};
 use crate::runtime;
-use crate::serve::signals;
 use crate::store::Store;
 use crate::wire::{Hello, VERSION};
 
@@ -78,7 +77,7 @@
 ) -> Result<(), Error> {
     invariant::exit_on_panic();
     runtime::block_on(async {
-        let signals = signals()?;
+        let signals = stop::signals()?;
         let node = start(settings, store, adapter, fronts).await?;
         stop::run(&node, signals).await;
         Ok(())
--- a/src/vm/stop.rs
+++ b/src/vm/stop.rs
@@ -1,14 +1,17 @@
 //! The planned stop: callers are sent elsewhere, targets are handed over, and what is in flight ends.
 
+use std::io;
 use std::sync::Arc;
 
-use async_signal::Signals;
+use async_signal::{Signal, Signals};
 use smol::Timer;
 use smol::stream::StreamExt as _;
 
 use crate::clock::Millis;
 use crate::event;
 use crate::membership;
+use crate::peer::Handler;
+use crate::schedule::Event;
 
 use super::node::Node;
 
@@ -18,9 +21,20 @@
 /// The time that taking the registration out of the store may take.
 const LEAVE_MAX: Millis = Millis(300);
 
+/// Takes the signals to stop and to read the settings again. From here on they end nothing by themselves.
+pub(super) fn signals() -> io::Result<Signals> {
+    Signals::new([Signal::Term, Signal::Int, Signal::Hup])
+}
+
 /// Waits for the signal to stop, and until everything has ended or time is up.
 pub(super) async fn run(node: &Arc<Node>, mut signals: Signals) {
-    signals.next().await;
+    loop {
+        match signals.next().await {
+            Some(Ok(Signal::Hup)) => reload(node),
+            Some(Err(error)) => event!(warn, "signal-unread", reason = error),
+            Some(Ok(_)) | None => break,
+        }
+    }
     let begun = node.now();
     event!(info, "drain-begin", unfinished = node.unfinished(), requests = node.traffic.busy());
     node.drain();
@@ -45,3 +59,23 @@
     smol::future::or(leave, late).await;
     event!(info, "stopped", after = node.now() - begun);
 }
+
+/// Reads the settings again. What can change while a VM runs comes into force; of the rest a line tells.
+fn reload(node: &Arc<Node>) {
+    let settings = match node.adapter.settings() {
+        Ok(settings) => settings,
+        Err(reason) => {
+            event!(warn, "reload-refused", reason = reason);
+            return;
+        }
+    };
+    let was = &node.settings;
+    let needs_restart =
+        (settings.peers, settings.callers, &settings.vm) != (was.peers, was.callers, &was.vm);
+    event!(info, "reloaded", seeds = settings.seeds.len(), needs_restart = needs_restart);
+    let handler = Arc::clone(node) as Arc<dyn Handler>;
+    for &address in &settings.seeds {
+        node.links.know(address, &handler);
+    }
+    node.handle(Event::Rules(settings.rules));
+}
