--- a/src/batch/outcome.rs
+++ b/src/batch/outcome.rs
@@ -37,8 +37,8 @@
     Misfit,
     /// No target is held by any VM in reach.
     Unowned,
-    /// It asks for something that is not built.
-    Unsupported,
+    /// The VM is being stopped and may not see its end.
+    Stopping,
 }
 
 impl fmt::Display for Refusal {
@@ -47,7 +47,7 @@
             Self::Overload => "overload",
             Self::Misfit => "misfit",
             Self::Unowned => "unowned",
-            Self::Unsupported => "unsupported",
+            Self::Stopping => "stopping",
         })
     }
 }
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -11,7 +11,7 @@
 use event_listener::Event;
 use http_types::{Request, Response};
 use smol::Timer;
-use smol::future::FutureExt as _;
+use smol::future::{self, FutureExt as _};
 use smol::io::{AsyncRead, AsyncWrite, AsyncWriteExt as _};
 use smol::net::{TcpListener, TcpStream};
 
@@ -41,6 +41,8 @@
 pub struct Traffic {
     open: AtomicUsize,
     busy: AtomicUsize,
+    closing: AtomicBool,
+    closed: Event,
 }
 
 impl Traffic {
@@ -49,6 +51,16 @@
         self.open.load(Ordering::Relaxed)
     }
 
+    /// Closes connections as soon as they are idle, from now on.
+    pub fn close_idle(&self) {
+        self.closing.store(true, Ordering::Relaxed);
+        self.closed.notify(usize::MAX);
+    }
+
+    fn is_closing(&self) -> bool {
+        self.closing.load(Ordering::Relaxed)
+    }
+
     /// The requests whose answers are not written yet.
     pub fn busy(&self) -> usize {
         self.busy.load(Ordering::Relaxed)
@@ -157,7 +169,17 @@
             hang_up(&stream).await;
             Ok(ConnectionStatus::Close)
         };
-        let end = server.accept_one().or(late).or(gone).await;
+        let idle_end = traffic.closed.listen();
+        let closed = async {
+            if !traffic.is_closing() {
+                idle_end.await;
+            }
+            if asked.load(Ordering::Relaxed) {
+                future::pending::<()>().await;
+            }
+            Ok(ConnectionStatus::Close)
+        };
+        let end = server.accept_one().or(late).or(gone).or(closed).await;
         if asked.load(Ordering::Relaxed) {
             traffic.busy.fetch_sub(1, Ordering::Relaxed);
         }
--- a/src/vm/node.rs
+++ b/src/vm/node.rs
@@ -92,6 +92,8 @@
     /// Batches to give up: their links have ended.
     pub(super) abandoned: Mutex<Vec<JobId>>,
     draining: AtomicBool,
+    /// When the stop began, in milliseconds of the clock.
+    draining_since: AtomicU64,
     pub(super) next_number: AtomicU64,
     /// Something changed by which a batch may find an owner.
     pub(super) owners_changed: Signal,
@@ -136,6 +138,7 @@
             refused: Mutex::default(),
             abandoned: Mutex::default(),
             draining: AtomicBool::new(false),
+            draining_since: AtomicU64::new(0),
             next_number: AtomicU64::new(1),
             owners_changed: Signal::new(),
             earlier: Signal::new(),
@@ -164,6 +167,13 @@
         !self.is_draining() && self.routes.load().version > 0
     }
 
+    /// How long a VM that is being stopped still runs.
+    pub(super) fn time_left(&self) -> Option<Millis> {
+        let since = self.draining_since.load(Ordering::Relaxed);
+        let end = Millis(since) + self.settings.stop_max;
+        self.is_draining().then(|| end - self.now())
+    }
+
     /// How many batches have no end yet.
     pub fn unfinished(&self) -> usize {
         self.lock().engine.unfinished()
@@ -393,6 +403,7 @@
 
     /// Stops taking targets, and lets go of those that are idle.
     pub(super) fn drain(self: &Arc<Self>) {
+        self.draining_since.store(self.now().0, Ordering::Relaxed);
         self.draining.store(true, Ordering::Relaxed);
         self.membership.drain();
         self.with_core(|core, now, work| {
--- a/src/vm/stop.rs
+++ b/src/vm/stop.rs
@@ -40,6 +40,9 @@
     node.drain();
     loop {
         let spent = node.now() - begun;
+        if spent >= node.settings.stop_min {
+            node.traffic.close_idle();
+        }
         let is_idle = node.traffic.busy() == 0 && node.unfinished() == 0 && node.links.owed() == 0;
         if spent >= node.settings.stop_max || (is_idle && spent >= node.settings.stop_min) {
             break;
--- a/src/vm/submit.rs
+++ b/src/vm/submit.rs
@@ -34,6 +34,10 @@
 /// silence and stops it, or is gone and leases lapse.
 const LINK_REMAINS: Millis = Millis(1150);
 
+/// How many times its longest chain a batch may last: declared times are off by half, targets differ as much,
+/// and it may have to wait.
+const STOP_CHAINS: u64 = 4;
+
 /// How long a submission may wait.
 #[derive(Clone, Copy, Debug)]
 pub struct Wait {
@@ -54,7 +58,11 @@
     /// Runs a batch and waits for its end. Dropped before that, what runs is stopped.
     pub async fn submit(self: &Arc<Self>, spec: Spec, wait: Wait) -> Outcome {
         let spec = Arc::new(spec);
-        let outcome = self.run_somewhere(&spec, wait).await;
+        let outcome = if self.may_outlast(&spec) {
+            Outcome::Refused { reason: Refusal::Stopping, retry_after: UNOWNED_RETRY }
+        } else {
+            self.run_somewhere(&spec, wait).await
+        };
         let took = self.now() - wait.since;
         self.metrics.time(Timing::Batch, took);
         self.metrics.count(match outcome {
@@ -66,6 +74,13 @@
         outcome
     }
 
+    /// Whether a batch may last beyond the end of a VM that is being stopped.
+    fn may_outlast(&self, spec: &Spec) -> bool {
+        let Some(left) = self.time_left() else { return false };
+        let chain = spec.longest_chain(|step| step.estimate);
+        chain * STOP_CHAINS + spec.terms.allowance > left
+    }
+
     async fn run_somewhere(self: &Arc<Self>, spec: &Arc<Spec>, wait: Wait) -> Outcome {
         let mut tried = BTreeSet::new();
         let mut has_started = false;
