Keep further attempts off targets that just failed, and freezes out of the estimates

Cause: a target that has died accepts, resets and has all its slots free again, while the sound ones are full; so the further attempts of a task were drawn to it until none was left. Ruled out: ejection (it comes after five failures, the attempts are five as well) and the caller's side. Now a further attempt waits for a sound target if there is any. Cause: the run times that spanned the freeze entered the estimate by which a job counts as hopeless. Ruled out: slots (they were free). A pause between events of which a review was due marks a freeze, and what was started before is no sample.

--- a/src/dispatch/engine.rs
+++ b/src/dispatch/engine.rs
@@ -23,6 +23,9 @@
 /// How often speeds are centred and unused targets looked at.
 const REVIEW_EVERY: Millis = Millis::from_secs(1);
 
+/// A pause between events of which a review was due in the meantime: the process was stopped or starved.
+const FREEZE_MIN: Millis = Millis(2500);
+
 /// The decisions of one VM.
 #[derive(Debug)]
 pub struct Engine {
@@ -48,6 +51,10 @@
     pub(super) timers: Timers,
     pub(super) next_start: StartId,
     pub(super) counts: Counts,
+    /// When the last event came.
+    last_event: Millis,
+    /// Since when the process has run without standing still.
+    pub(super) awake_since: Millis,
 }
 
 /// A job of this VM.
@@ -118,11 +125,14 @@
             timers: Timers::default(),
             next_start: 1,
             counts: Counts::default(),
+            last_event: Millis::ZERO,
+            awake_since: Millis::ZERO,
         }
     }
 
     /// Takes one event at the time `now` and appends what is to be done to `actions`.
     pub fn handle(&mut self, now: Millis, event: Event, actions: &mut Vec<Action>) {
+        self.note_freeze(now);
         self.run_timers(now, actions);
         match event {
             Event::Configure(document) => self.configure(now, document),
@@ -147,6 +157,15 @@
         self.share_slots(now, actions);
     }
 
+    /// Notes that the process has stood still, when an event comes long after the review that was due.
+    fn note_freeze(&mut self, now: Millis) {
+        let had_review = self.timers.next().is_some();
+        if had_review && now - self.last_event > FREEZE_MIN {
+            self.awake_since = now;
+        }
+        self.last_event = now;
+    }
+
     /// When the engine wants a [`Event::Tick`] at the latest.
     pub fn wake(&self) -> Option<Millis> {
         self.timers.next()
--- a/src/dispatch/run.rs
+++ b/src/dispatch/run.rs
@@ -11,6 +11,7 @@
 use super::event::{Action, Start, StartId};
 use super::pool::slowness_of;
 use super::queue::Source;
+use super::target::Target;
 use super::timer::Timer;
 
 /// How long a task waits at most for a slot that another VM may lend, two round trips between domains.
@@ -63,6 +64,9 @@
         }
         let Some((source, index)) = self.queues[pool].peek() else { return false };
         let Some(target) = self.choose(pool, source) else { return false };
+        if self.is_risky(pool, source, index, target) {
+            return false;
+        }
         self.queues[pool].pop();
         if self.is_hopeless(now, source, index, target, actions) {
             return true;
@@ -93,6 +97,19 @@
         Some(chosen)
     }
 
+    /// Whether a further attempt would go to a target whose last task failed, while a sound one will have room.
+    /// A target that has died accepts, fails at once and is free again: it would use up all attempts.
+    fn is_risky(&self, pool: usize, source: Source, index: usize, target: usize) -> bool {
+        let Source::Job(id) = source else { return false };
+        let is_further = self.jobs.get(&id).is_some_and(|flight| flight.job.tries(index) > 0);
+        let is_sound = |target: &Target| {
+            let in_pool = target.listings.iter().any(|listing| listing.pool == pool);
+            in_pool && target.wanted && !target.health.is_suspect() && !target.health.is_ejected()
+        };
+        let targets = &self.fleet.targets;
+        is_further && targets[target].health.is_suspect() && targets.iter().any(is_sound)
+    }
+
     /// Ends a job whose next task would end after the job's time, instead of starting it.
     fn is_hopeless(
         &mut self,
--- a/src/dispatch/settle.rs
+++ b/src/dispatch/settle.rs
@@ -116,11 +116,14 @@
         let service = &mut self.services.list[attempt.service];
         match report {
             Report::Done(_) => {
-                let measured = estimate::log(now - attempt.started);
-                let slowness = target.speed.slowness;
-                let expected = service.size.expected(attempt.declared);
-                target.speed.add(now, measured - expected);
-                service.size.add(measured - slowness, attempt.declared);
+                // A time that spans a freeze of this process says nothing of the target.
+                if attempt.started >= self.awake_since {
+                    let measured = estimate::log(now - attempt.started);
+                    let slowness = target.speed.slowness;
+                    let expected = service.size.expected(attempt.declared);
+                    target.speed.add(now, measured - expected);
+                    service.size.add(measured - slowness, attempt.declared);
+                }
                 service.tally.done += 1;
                 target.refusals = 0;
                 target.health.succeed(attempt.started);
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -8,8 +8,8 @@
 use fastrand::Rng;
 use gypsumkeel::clock::Millis;
 use gypsumkeel::config::{Choice, Document, Order, SlotMode, Team};
-use gypsumkeel::dispatch::{Action, Adopted, Adoption, Engine, Event, Report};
-use gypsumkeel::job::{Execution, Failure, Outcome, Reason};
+use gypsumkeel::dispatch::{Action, Adopted, Adoption, Engine, Event, Place, Report};
+use gypsumkeel::job::{Execution, Failure, Outcome, Reason, Spec};
 use model::{Fault, Load, Model, document, drive, spec, vm};
 
 const SECOND: u64 = 1_000_000;
@@ -384,3 +384,68 @@
     handle(200_000, Event::Tick);
     assert!(matches!(returned(handle(200_001, adopt(1)), 1), Report::Lost(_)), "long forgotten");
 }
+
+/// An engine of one VM with a document, and a way to hand it events at a time in milliseconds.
+fn lone_engine(document: Document) -> impl FnMut(u64, Event) -> Vec<Action> {
+    let mut engine = Engine::new(vm(0), "a", SEED);
+    let mut handle = move |now, event| {
+        let mut actions = Vec::new();
+        engine.handle(Millis(now), event, &mut actions);
+        actions
+    };
+    handle(0, Event::Configure(Arc::new(document)));
+    handle(0, Event::Members(Arc::from([])));
+    handle
+}
+
+fn starts(actions: &[Action]) -> Vec<(u64, Place)> {
+    let starts = actions.iter().filter_map(|action| match action {
+        Action::Start(start) => Some((start.id, start.place.clone())),
+        _ => None,
+    });
+    starts.collect()
+}
+
+fn submit(job: u64, spec: Spec) -> Event {
+    Event::Submit { job, spec: Arc::new(spec) }
+}
+
+#[test]
+fn a_further_attempt_waits_for_a_sound_target() {
+    let mut document = document(&[("a", 2)]);
+    document.targets.iter_mut().for_each(|target| target.slots = 1);
+    document.limits.retries.share = 1.0;
+    let mut handle = lone_engine(document);
+    let lost = starts(&handle(1, submit(1, spec(&[100], true, 20_000))));
+    let other = starts(&handle(2, submit(2, spec(&[100], false, 20_000))));
+    let report = Report::Lost("reset".into());
+    handle(3, Event::Report { start: lost[0].0, report });
+    for now in 4..1000 {
+        let again = starts(&handle(now, Event::Tick));
+        assert!(again.is_empty(), "started again where the first attempt was lost: {again:?}");
+    }
+    let done = Event::Report { start: other[0].0, report: Report::Done("1".into()) };
+    let again = starts(&handle(1000, done));
+    assert_eq!(again.len(), 1);
+    assert_eq!(again[0].1, other[0].1);
+}
+
+#[test]
+fn run_times_that_span_a_freeze_are_no_samples() {
+    let mut handle = lone_engine(document(&[("a", 4)]));
+    let mut now = 1;
+    for job in 1..=40 {
+        let running = starts(&handle(now, submit(job, spec(&[300], false, 20_000))));
+        now += 300;
+        let report = Report::Done("1".into());
+        handle(now, Event::Report { start: running[0].0, report });
+    }
+    let frozen = starts(&handle(now, submit(41, spec(&[300; 20], false, 20_000))));
+    assert_eq!(frozen.len(), 20);
+    now += 30_000;
+    for (start, _) in frozen {
+        handle(now, Event::Report { start, report: Report::Done("1".into()) });
+    }
+    let actions = handle(now + 1, submit(42, spec(&[300; 5], false, 2_000)));
+    assert_eq!(starts(&actions).len(), 5, "{actions:?}");
+}
