Test the scheduler under virtual time against targets that check every rule

Two cases failed first. A batch past three objectives that had started waited for ever: no target could end it in time, so none was chosen; it now runs as the last class until its caller leaves. A target that was born again was not asked again while an old hold was open.

--- a/src/schedule/engine.rs
+++ b/src/schedule/engine.rs
@@ -10,7 +10,7 @@
 use super::event::{Action, Event, JobId, Listing, Load, OrderId, Rules};
 use super::fence::Fence;
 use super::order::Order;
-use super::queue::{Backlog, Queue, Rank};
+use super::queue::{Backlog, Class, Queue, Rank};
 use super::speed::Speeds;
 use super::target::{Phase, Target};
 
@@ -173,8 +173,8 @@
     /// Refuses a batch that can't end in time behind what waits already.
     fn refusal(&self, now: Millis, id: JobId, job: &Job) -> Option<Outcome> {
         let factor = self.best_factor(now, job)?;
-        let late = now + scaled(job.chain, factor) > job.objective_at;
-        let ahead = self.queue.ahead_of(&Rank::of(id, job, late));
+        let class = Class::of(job, now + scaled(job.chain, factor));
+        let ahead = self.queue.ahead_of(&Rank::of(id, job, class));
         let capacity = self.load(now).total_cpu;
         let wait = Backlog::time(ahead, capacity);
         let end = now + wait + scaled(job.chain, factor);
@@ -210,12 +210,12 @@
     pub(super) fn enqueue(&mut self, now: Millis, id: JobId) {
         let Some(job) = self.jobs.get(&id) else { return };
         let factor = self.best_factor(now, job).unwrap_or(1.0);
-        let late = now + scaled(job.chain, factor) > job.objective_at;
+        let class = Class::of(job, now + scaled(job.chain, factor));
         let work = job.ready.iter().map(|&task| {
             let step = &job.spec.steps[job.tasks[task].step];
             step.need.cpu.max(1) * self.expected(&job.spec, step).0.max(1)
         });
-        let (rank, work) = (Rank::of(id, job, late), work.sum());
+        let (rank, work) = (Rank::of(id, job, class), work.sum());
         self.queue.put(rank, work);
     }
 
@@ -273,6 +273,7 @@
         let target = &mut self.targets[number];
         target.life = life;
         target.seen = 0;
+        target.waiting_hold = None;
         target.clock = None;
         target.foreign.clear();
         target.health = super::target::Health::default();
--- a/src/schedule/placement.rs
+++ b/src/schedule/placement.rs
@@ -10,6 +10,7 @@
 use super::engine::{Engine, has_label, scaled};
 use super::event::{Action, JobId};
 use super::order::is_far;
+use super::queue::Class;
 use super::target::Target;
 
 /// The share of its slack that a task waits for a target on the rack of its data.
@@ -31,7 +32,7 @@
                 self.start(now, id, task, target, actions);
                 has_started = true;
             }
-            if has_started || !rank.late {
+            if has_started || rank.class != Class::Overdue {
                 self.enqueue(now, id);
             }
         }
@@ -48,8 +49,8 @@
             return !remains;
         }
         let Some(factor) = self.best_factor(now, job) else { return false };
-        let is_useless = now + scaled(job.chain, factor) > job.useful_until;
-        if is_useless && !job.started {
+        let class = Class::of(job, now + scaled(job.chain, factor));
+        if class == Class::Overdue && !job.started {
             let outcome = self.overload(now);
             self.end(id, outcome, actions);
             return false;
@@ -68,10 +69,11 @@
         let step = &job.spec.steps[job.tasks[task].step];
         let expected = self.expected(&job.spec, step);
         let factor = self.best_factor(now, job)?;
-        let is_late = now + scaled(job.chain, factor) > job.objective_at;
-        let limit = if is_late { job.useful_until } else { job.objective_at };
+        let class = Class::of(job, now + scaled(job.chain, factor));
+        let limit = class.limit(job);
         let slack = job.latest_start() - now;
-        let may_be_far = is_late || scaled(job.slack, 1.0 - NEAR_WAIT_SHARE) >= slack;
+        let may_be_far =
+            class != Class::Timely || scaled(job.slack, 1.0 - NEAR_WAIT_SHARE) >= slack;
         let failed_on = job.tasks[task].failed_on;
         let mut best = None;
         for (number, target) in self.targets.iter().enumerate() {
--- a/src/schedule/queue.rs
+++ b/src/schedule/queue.rs
@@ -11,11 +11,44 @@
 use super::batch::Job;
 use super::event::JobId;
 
+/// What the end of a batch is still worth to its caller, the most first.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(super) enum Class {
+    /// It can end within its objective.
+    Timely,
+    /// It can end while that is of use.
+    Late,
+    /// It can't; only one that has started is ended all the same.
+    Overdue,
+}
+
+impl Class {
+    /// The class of a batch that is expected to end at `end` if its next task starts now.
+    pub fn of(job: &Job, end: Millis) -> Self {
+        if end <= job.objective_at {
+            Self::Timely
+        } else if end <= job.useful_until {
+            Self::Late
+        } else {
+            Self::Overdue
+        }
+    }
+
+    /// When a batch of this class should have ended.
+    pub const fn limit(self, job: &Job) -> Millis {
+        match self {
+            Self::Timely => job.objective_at,
+            Self::Late => job.useful_until,
+            Self::Overdue => job.leaves,
+        }
+    }
+}
+
 /// Where a batch stands in the queue; the smallest goes first.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(super) struct Rank {
-    /// Whether it can't end within its objective any longer.
-    pub late: bool,
+    /// What its end is still worth to its caller.
+    pub class: Class,
     /// When it must start.
     pub latest_start: Millis,
     /// Its queue's priority.
@@ -25,9 +58,9 @@
 }
 
 impl Rank {
-    pub fn of(id: JobId, job: &Job, late: bool) -> Self {
+    pub fn of(id: JobId, job: &Job, class: Class) -> Self {
         let latest_start = job.latest_start();
-        Self { late, latest_start, priority: job.spec.terms.priority, job: id }
+        Self { class, latest_start, priority: job.spec.terms.priority, job: id }
     }
 }
 
@@ -65,7 +98,7 @@
         self.ranks.insert(rank.job, rank);
         self.order.insert(rank, work);
         self.backlog.all += work;
-        if !rank.late {
+        if rank.class == Class::Timely {
             self.backlog.timely += work;
         }
     }
@@ -75,7 +108,7 @@
         let Some(rank) = self.ranks.remove(&job) else { return };
         let work = self.order.remove(&rank).unwrap_or_default();
         self.backlog.all -= work;
-        if !rank.late {
+        if rank.class == Class::Timely {
             self.backlog.timely -= work;
         }
     }
--- /dev/null
+++ b/tests/schedule.rs
@@ -0,0 +1,305 @@
+//! The scheduler of leased targets under virtual time: what it starts where and when, and that no fault makes
+//! a task run twice, without room, before its turn or after a drain. The targets of the model check that.
+
+#[path = "schedule/model.rs"]
+mod model;
+
+use std::sync::Arc;
+
+use fastrand::Rng;
+use gypsumkeel::batch::{Outcome, Refusal};
+use gypsumkeel::schedule::Event;
+use model::{Fault, LEASE, Model, listing, spec};
+
+const SEED: u64 = 11;
+
+/// Engine 0 with `count` targets of 16 cores.
+fn world(count: usize) -> Model {
+    let listings = (0..count).map(|number| listing(&format!("t{number}"), 16, "r0"));
+    Model::new(1, listings.collect(), SEED)
+}
+
+#[test]
+fn a_batch_is_done_when_all_its_tasks_are() {
+    let mut model = world(2);
+    model.submit(100, 0, 1, spec("j1", 6, 7, 60), 60, 5000);
+    model.run(1000);
+    assert_eq!(model.outcome(1), Some(&Outcome::Done));
+    assert_eq!(model.done.len(), 6);
+    assert!(model.got[&(0, 1)].at < 260, "two rounds of 60 ms: {:?}", model.got);
+}
+
+#[test]
+fn a_step_waits_for_those_before_it() {
+    let mut model = world(2);
+    let mut chain = spec("j1", 3, 7, 50);
+    let mut second = chain.steps[0].clone();
+    second.after = vec![0];
+    chain.steps.push(second);
+    model.submit(100, 0, 1, chain, 50, 5000);
+    model.run(1000);
+    assert_eq!(model.outcome(1), Some(&Outcome::Done));
+}
+
+#[test]
+fn labels_and_shares_of_targets_are_kept() {
+    let mut model = Model::new(1, vec![listing("t0", 16, "r0"), listing("t1", 64, "r1")], SEED);
+    let mut labelled = spec("j1", 4, 2, 50);
+    labelled.steps[0].required_label = Some("r1".to_owned());
+    model.submit(100, 0, 1, labelled, 50, 5000);
+    let mut shared = spec("j2", 6, 2, 50);
+    shared.steps[0].per_target_max = Some(1);
+    model.submit(100, 0, 2, shared, 50, 5000);
+    model.run(2000);
+    assert_eq!(model.outcome(1), Some(&Outcome::Done));
+    assert_eq!(model.outcome(2), Some(&Outcome::Done));
+}
+
+#[test]
+fn what_fits_no_target_moves_on() {
+    let mut model = world(2);
+    model.submit(100, 0, 1, spec("j1", 1, 20, 50), 50, 5000);
+    model.run(200);
+    assert_eq!(model.outcome(1), Some(&Outcome::Moved));
+}
+
+#[test]
+fn a_task_that_always_fails_uses_up_its_attempts() {
+    let mut model = world(4);
+    for server in 0..4 {
+        model.fault(50, server, Fault { fails: true, ..Fault::default() });
+    }
+    model.submit(100, 0, 1, spec("j1", 1, 7, 50), 50, 20_000);
+    model.run(20_000);
+    assert_eq!(model.outcome(1), Some(&Outcome::Failed));
+    assert_eq!(model.failed.values().copied().collect::<Vec<_>>(), [3]);
+}
+
+#[test]
+fn a_target_that_fails_all_gets_few_tasks() {
+    let mut model = world(4);
+    model.fault(50, 0, Fault { fails: true, ..Fault::default() });
+    for job in 1..=200 {
+        model.submit(job * 40, 0, job, spec(&format!("j{job}"), 2, 7, 60), 60, 5000);
+    }
+    model.run(15_000);
+    assert!((1..=200).all(|job| model.outcome(job) == Some(&Outcome::Done)));
+    assert!(model.servers[0].starts < 12, "{} starts", model.servers[0].starts);
+}
+
+#[test]
+fn tasks_that_stand_still_run_elsewhere_soon() {
+    let mut model = world(4);
+    model.fault(50, 0, Fault { hangs: true, ..Fault::default() });
+    for job in 1..=20 {
+        model.submit(job * 50, 0, job, spec(&format!("j{job}"), 2, 7, 100), 100, 10_000);
+    }
+    model.run(10_000);
+    let slowest = model.got.values().map(|got| got.at).max();
+    assert!((1..=20).all(|job| model.outcome(job) == Some(&Outcome::Done)));
+    assert!(slowest < Some(2500), "{:?}", model.got);
+}
+
+#[test]
+fn a_long_task_is_not_taken_for_one_that_stands_still() {
+    let mut model = world(4);
+    model.submit(100, 0, 1, spec("j1", 4, 7, 700), 1500, 10_000);
+    model.run(10_000);
+    assert_eq!(model.outcome(1), Some(&Outcome::Done));
+    assert_eq!(model.servers.iter().map(|server| server.starts).sum::<u64>(), 4);
+}
+
+#[test]
+fn a_batch_that_has_started_is_not_given_up_by_its_estimate() {
+    let mut model = world(1);
+    // Five tasks on two places, declared at 100 ms: three times the objective is 660 ms.
+    model.submit(100, 0, 1, spec("j1", 5, 7, 100), 290, 10_000);
+    model.run(10_000);
+    assert_eq!(model.outcome(1), Some(&Outcome::Done));
+}
+
+#[test]
+fn what_can_not_end_in_time_is_refused_at_once() {
+    let mut model = world(1);
+    for job in 1..=60 {
+        model.submit(100, 0, job, spec(&format!("j{job}"), 2, 7, 200), 200, 10_000);
+    }
+    model.run(130);
+    let refused = model
+        .got
+        .values()
+        .filter(|got| matches!(got.outcome, Outcome::Refused { reason: Refusal::Overload, .. }));
+    assert!(refused.count() > 50, "{:?}", model.got);
+    model.run(10_000);
+    assert_eq!(model.got.len(), 60);
+    let started = model.servers[0].starts;
+    let done = model.got.values().filter(|got| got.outcome == Outcome::Done).count() as u64;
+    assert_eq!(started, done * 2, "a refused batch has started");
+}
+
+#[test]
+fn the_runs_of_a_caller_that_left_are_stopped() {
+    let mut model = world(2);
+    model.submit(100, 0, 1, spec("j1", 4, 7, 2000), 2000, 10_000);
+    model.event(300, 0, Event::Abandon { job: 1 });
+    model.run(310);
+    assert_eq!(model.running(), 0);
+    assert_eq!(model.outcome(1), None);
+}
+
+#[test]
+fn a_batch_sent_again_waits_for_the_runs_of_before() {
+    let mut model = world(2);
+    model.submit(100, 0, 1, spec("j1", 4, 7, 300), 300, 10_000);
+    model.fault(200, 0, Fault { silent: true, ..Fault::default() });
+    model.event(210, 0, Event::Abandon { job: 1 });
+    model.submit(220, 0, 2, spec("j1", 4, 7, 300), 300, 10_000);
+    model.run(10_000);
+    assert_eq!(model.outcome(2), Some(&Outcome::Done));
+}
+
+#[test]
+fn a_higher_token_takes_a_target_over_and_ends_what_ran() {
+    let listings = (0..2).map(|number| listing(&format!("t{number}"), 16, "r0"));
+    let mut model = Model::new(2, listings.collect(), SEED);
+    model.submit(100, 0, 1, spec("j1", 4, 7, 5000), 5000, 20_000);
+    model.run(200);
+    model.frozen[0] = true;
+    for target in ["t0", "t1"] {
+        model.event(300, 1, Event::Take { target: Arc::from(target), round: 0 });
+    }
+    model.submit(400, 1, 1, spec("j2", 4, 7, 100), 100, 5000);
+    model.run(800);
+    assert_eq!(model.got[&(1, 1)].outcome, Outcome::Done);
+    model.run(3000);
+    model.thaw(0);
+    model.run(6000);
+    let fenced = model.left.iter().filter(|(engine, _, fenced)| *engine == 0 && *fenced);
+    assert_eq!(fenced.count(), 2);
+    assert_eq!(model.got[&(0, 1)].outcome, Outcome::Interrupted);
+}
+
+#[test]
+fn a_target_born_again_is_used_again_and_its_tasks_run_anew() {
+    let mut model = world(2);
+    model.submit(100, 0, 1, spec("j1", 4, 7, 300), 300, 10_000);
+    model.crash(200, 0);
+    model.run(250);
+    model.list(0);
+    model.run(5000);
+    assert_eq!(model.outcome(1), Some(&Outcome::Done));
+    assert!(model.servers[0].starts > 2, "it was not used again");
+}
+
+#[test]
+fn a_target_that_drains_gets_nothing_more() {
+    let mut model = world(2);
+    model.drain_target(500, 0);
+    for job in 1..=100 {
+        model.submit(job * 50, 0, job, spec(&format!("j{job}"), 1, 7, 60), 60, 5000);
+    }
+    model.run(8000);
+    assert!((1..=100).all(|job| model.outcome(job) == Some(&Outcome::Done)));
+}
+
+#[test]
+fn a_vm_that_stops_moves_what_waits_and_releases_idle_targets() {
+    let mut model = world(1);
+    model.submit(100, 0, 1, spec("j1", 2, 7, 500), 500, 10_000);
+    model.submit(110, 0, 2, spec("j2", 2, 7, 500), 500, 10_000);
+    model.event(200, 0, Event::Drain);
+    model.run(300);
+    assert_eq!(model.outcome(2), Some(&Outcome::Moved));
+    model.run(3000);
+    assert_eq!(model.outcome(1), Some(&Outcome::Done));
+    assert_eq!(model.left.len(), 1);
+    assert!(!model.left[0].2);
+}
+
+#[test]
+fn data_draws_its_tasks_to_its_rack() {
+    let listings = vec![listing("t0", 16, "r0"), listing("t1", 16, "r1")];
+    let mut model = Model::new(1, listings, SEED);
+    for job in 1..=50 {
+        let mut near = spec(&format!("j{job}"), 1, 7, 100);
+        near.steps[0].near_rack = Some("r1".to_owned());
+        model.submit(job * 150, 0, job, near, 100, 5000);
+    }
+    model.run(10_000);
+    assert_eq!((model.servers[0].starts, model.servers[1].starts), (0, 50));
+}
+
+#[test]
+fn a_slow_clock_and_an_idle_spell_lapse_no_lease() {
+    let mut model = world(2);
+    model.servers.iter_mut().for_each(|server| server.clock_rate = 980);
+    model.run(3 * LEASE);
+    for job in 1..=20 {
+        model.submit(4000 + job * 10, 0, job, spec(&format!("j{job}"), 1, 7, 3000), 3000, 60_000);
+    }
+    model.run(60_000);
+    assert!((1..=20).any(|job| model.outcome(job) == Some(&Outcome::Done)));
+    let runs = model.servers.iter().map(|server| server.starts).sum::<u64>();
+    assert_eq!(runs, model.done.len() as u64, "a lease lapsed");
+}
+
+/// Faults of all kinds at random: whatever comes, every batch ends once, and the targets' own checks hold.
+#[test]
+fn no_mix_of_faults_breaks_a_rule() {
+    for seed in 1..=30 {
+        play_mix(seed);
+    }
+}
+
+fn play_mix(seed: u64) {
+    eprintln!("seed {seed}");
+    let mut random = Rng::with_seed(seed);
+    let listings = (0..6).map(|number| {
+        let cores = if number % 3 == 0 { 24 } else { 16 };
+        listing(&format!("t{number}"), cores, &format!("r{}", number / 3))
+    });
+    let mut model = Model::new(2, listings.collect(), seed);
+    for server in 0..6 {
+        model.servers[server].slowness = 0.6 + random.f64();
+        model.servers[server].clock_rate = 980 + random.u64(..21);
+    }
+    for _ in 0..8 {
+        let (at, server) = (random.u64(500..12_000), random.usize(..6));
+        let fault = match random.u32(..5) {
+            0 => Fault { hangs: true, ..Fault::default() },
+            1 => Fault { fails: true, ..Fault::default() },
+            2 => Fault { silent: true, ..Fault::default() },
+            3 => Fault { lost: 30, ..Fault::default() },
+            _ => Fault { late: 30, ..Fault::default() },
+        };
+        model.fault(at, server, fault);
+        model.fault(at + random.u64(500..4000), server, Fault::default());
+    }
+    model.crash(random.u64(2000..10_000), random.usize(..6));
+    for job in 1..=200 {
+        let (at, count) = (random.u64(100..14_000), random.u32(1..9));
+        let (estimate, lasts) = (random.u64(30..400), random.u64(30..400));
+        let mut batch = spec(&format!("j{job}"), count, random.u64(3..9), estimate);
+        if random.bool() {
+            batch.steps[0].near_rack = Some(format!("r{}", random.u32(..2)));
+        }
+        model.submit(at, 0, job, batch, lasts, 8000);
+        if random.u32(..5) == 0 {
+            model.event(at + random.u64(..500), 0, Event::Abandon { job });
+        }
+    }
+    // The other engine takes some targets in the middle, as it does when it thinks that the owner is gone.
+    let taken = random.u64(4000..9000);
+    model.run(taken);
+    model.list(0);
+    model.frozen[0] = random.bool();
+    for target in 0..random.usize(1..4) {
+        let target = Arc::from(format!("t{target}"));
+        model.event(taken, 1, Event::Take { target, round: random.u64(..4) });
+    }
+    model.run(taken + 2000);
+    model.thaw(0);
+    model.run(60_000);
+    assert_eq!(model.running(), 0, "something runs on");
+    assert_eq!(model.engines[0].unfinished(), 0, "a batch has no end");
+}
--- /dev/null
+++ b/tests/schedule/model.rs
@@ -0,0 +1,581 @@
+//! Schedulers and leased targets under virtual time. The targets obey fencing tokens and leases, and check that
+//! nothing runs twice, without room, or after a drain.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::sync::Arc;
+
+use fastrand::Rng;
+use gypsumkeel::batch::{Name, Outcome, Room, Spec, Step, Terms};
+use gypsumkeel::clock::Millis;
+use gypsumkeel::schedule::{
+    Action, Denial, Ended, Ending, Engine, Event, HoldAnswer, Listing, OrderAnswer, OrderId, Reply,
+    Rules, Running,
+};
+
+/// One way of a message, in milliseconds.
+const DELAY: u64 = 1;
+
+/// The longest lease, in milliseconds.
+pub const LEASE: u64 = 1000;
+
+/// How long a call may go unanswered, in milliseconds.
+const TIMEOUT: u64 = 300;
+
+/// What a target does wrong.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Fault {
+    /// Tasks make no progress.
+    pub hangs: bool,
+    /// Tasks fail at once.
+    pub fails: bool,
+    /// Nothing arrives and nothing answers.
+    pub silent: bool,
+    /// Of 100 calls, so many get no answer.
+    pub lost: u64,
+    /// Of 100 starts, so many get no answer and arrive seconds later.
+    pub late: u64,
+}
+
+/// A task on a target.
+#[derive(Clone, Debug)]
+struct Work {
+    name: Name,
+    run: u32,
+    need: Room,
+    since: u64,
+    lasts: u64,
+}
+
+/// A leased target.
+#[derive(Debug)]
+pub struct Server {
+    pub listing: Listing,
+    pub slowness: f64,
+    pub fault: Fault,
+    /// How fast its clock runs, in thousandths.
+    pub clock_rate: u64,
+    fence: u64,
+    lease: u64,
+    running: Vec<Work>,
+    ended: Vec<Ended>,
+    next_end: u64,
+    killed: Vec<(Name, u32)>,
+    waiting: Vec<(usize, OrderId, u64)>,
+    drained_at: Option<u64>,
+    pub starts: u64,
+    pub busy_ms: u64,
+}
+
+#[derive(Clone, Debug)]
+enum Item {
+    Arrive { engine: usize, action: Action, late: bool },
+    Give { engine: usize, order: OrderId, reply: Reply },
+    Do { engine: usize, event: Event },
+    Ticks { engine: usize },
+    Look { server: usize },
+    Fault { server: usize, fault: Fault },
+    Crash { server: usize },
+    Drain { server: usize },
+}
+
+/// What a caller got.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Got {
+    pub outcome: Outcome,
+    pub at: u64,
+}
+
+/// A world of engines and targets.
+pub struct Model {
+    pub now: u64,
+    pub engines: Vec<Engine>,
+    pub servers: Vec<Server>,
+    pub got: BTreeMap<(usize, u64), Got>,
+    pub owned: Vec<(usize, Arc<str>)>,
+    pub left: Vec<(usize, Arc<str>, bool)>,
+    /// Engines that stand still: nothing reaches them until they go on.
+    pub frozen: Vec<bool>,
+    specs: HashMap<Arc<str>, Arc<Spec>>,
+    /// How long the tasks of a job really last at slowness 1.
+    lasts: HashMap<Arc<str>, u64>,
+    agenda: BinaryHeap<Reverse<(u64, u64, usize)>>,
+    items: Vec<Option<Item>>,
+    held: Vec<Vec<Item>>,
+    random: Rng,
+    /// How often each task has ended as done.
+    pub done: HashMap<Name, u32>,
+    pub failed: HashMap<Name, u32>,
+}
+
+pub const RULES: Rules =
+    Rules { lease_max: Millis(LEASE), far_factor: 2.0, unlisted_max: Millis(2500) };
+
+/// A target `id` with cores and a rack.
+pub fn listing(id: &str, cores: u64, rack: &str) -> Listing {
+    Listing {
+        id: Arc::from(id),
+        service: Arc::from("desk"),
+        domain: Arc::from("a"),
+        rack: Some(Arc::from(rack)),
+        labels: vec!["kind".to_owned(), rack.to_owned()],
+        room: Room { cpu: cores * 1000, memory: 32_000, gpu: 0 },
+        draining: false,
+        guards_room: false,
+        life: 1,
+    }
+}
+
+/// A batch of one step.
+pub fn spec(id: &str, count: u32, cores: u64, estimate: u64) -> Spec {
+    Spec {
+        id: Arc::from(id),
+        text: Arc::from("text"),
+        queue: Arc::from("queue"),
+        service: Arc::from("desk"),
+        steps: vec![Step {
+            count,
+            need: Room { cpu: cores * 1000, memory: 64, gpu: 0 },
+            estimate: Millis(estimate),
+            after: Vec::new(),
+            required_label: None,
+            near_rack: None,
+            per_target_max: None,
+        }],
+        terms: Terms { priority: 0, attempts: 3, stretch: 1.6, allowance: Millis(60) },
+    }
+}
+
+impl Model {
+    /// A world in which engine 0 takes all targets at once.
+    pub fn new(engines: usize, listings: Vec<Listing>, seed: u64) -> Self {
+        let mut model = Self {
+            now: 0,
+            engines: (0..engines).map(|n| Engine::new(n as u128 + 1, RULES)).collect(),
+            servers: listings.into_iter().map(Server::new).collect(),
+            got: BTreeMap::new(),
+            owned: Vec::new(),
+            left: Vec::new(),
+            frozen: vec![false; engines],
+            specs: HashMap::new(),
+            lasts: HashMap::new(),
+            agenda: BinaryHeap::new(),
+            items: Vec::new(),
+            held: vec![Vec::new(); engines],
+            random: Rng::with_seed(seed),
+            done: HashMap::new(),
+            failed: HashMap::new(),
+        };
+        for engine in 0..engines {
+            model.list(engine);
+            model.add(1, Item::Ticks { engine });
+        }
+        for server in 0..model.servers.len() {
+            let target = Arc::clone(&model.servers[server].listing.id);
+            model.event(0, 0, Event::Take { target, round: 0 });
+        }
+        model.run(20);
+        model
+    }
+
+    fn add(&mut self, at: u64, item: Item) {
+        let number = self.items.len();
+        self.items.push(Some(item));
+        self.agenda.push(Reverse((at.max(self.now), number as u64, number)));
+    }
+
+    /// Has an engine take an event at a time.
+    pub fn event(&mut self, at: u64, engine: usize, event: Event) {
+        self.add(at, Item::Do { engine, event });
+    }
+
+    /// Tells an engine which targets there are.
+    pub fn list(&mut self, engine: usize) {
+        let listings = self.servers.iter().map(|server| server.listing.clone()).collect();
+        self.event(self.now, engine, Event::Targets(listings));
+    }
+
+    pub fn fault(&mut self, at: u64, server: usize, fault: Fault) {
+        self.add(at, Item::Fault { server, fault });
+    }
+
+    pub fn crash(&mut self, at: u64, server: usize) {
+        self.add(at, Item::Crash { server });
+    }
+
+    pub fn drain_target(&mut self, at: u64, server: usize) {
+        self.add(at, Item::Drain { server });
+    }
+
+    /// Submits a batch whose tasks really last `lasts`.
+    pub fn submit(
+        &mut self,
+        at: u64,
+        engine: usize,
+        job: u64,
+        spec: Spec,
+        lasts: u64,
+        patience: u64,
+    ) {
+        let spec = Arc::new(spec);
+        self.specs.insert(Arc::clone(&spec.id), Arc::clone(&spec));
+        self.lasts.insert(Arc::clone(&spec.id), lasts);
+        let event = Event::Submit { job, spec, age: Millis::ZERO, patience: Millis(patience) };
+        self.event(at, engine, event);
+    }
+
+    /// Plays until `until`.
+    pub fn run(&mut self, until: u64) {
+        while let Some(&Reverse((at, _, number))) = self.agenda.peek() {
+            if at > until {
+                break;
+            }
+            self.agenda.pop();
+            self.now = at;
+            let item = self.items[number].take().unwrap();
+            self.play(item);
+        }
+        self.now = until;
+    }
+
+    /// Lets an engine that stood still go on: all that waited reaches it at once.
+    pub fn thaw(&mut self, engine: usize) {
+        self.frozen[engine] = false;
+        for item in std::mem::take(&mut self.held[engine]) {
+            self.add(self.now, item);
+        }
+    }
+
+    fn play(&mut self, item: Item) {
+        match item {
+            Item::Give { engine, .. } | Item::Do { engine, .. } | Item::Ticks { engine }
+                if self.frozen[engine] =>
+            {
+                self.held[engine].push(item);
+            }
+            Item::Arrive { engine, action, late } => self.arrive(engine, action, late),
+            Item::Give { engine, order, reply } => {
+                self.handle(engine, Event::Answer { order, reply });
+            }
+            Item::Do { engine, event } => self.handle(engine, event),
+            Item::Ticks { engine } => {
+                self.handle(engine, Event::Tick);
+                self.add(self.now + 25, Item::Ticks { engine });
+            }
+            Item::Look { server } => self.look(server),
+            Item::Fault { server, fault } => self.servers[server].fault = fault,
+            Item::Crash { server } => {
+                for (engine, order, _) in self.servers[server].crash() {
+                    let reply = Reply::Lost;
+                    self.add(self.now + DELAY, Item::Give { engine, order, reply });
+                }
+            }
+            Item::Drain { server } => {
+                self.servers[server].listing.draining = true;
+                self.servers[server].drained_at = Some(self.now);
+                for engine in 0..self.engines.len() {
+                    self.list(engine);
+                }
+            }
+        }
+    }
+
+    fn handle(&mut self, engine: usize, event: Event) {
+        let mut actions = Vec::new();
+        self.engines[engine].handle(Millis(self.now), event, &mut actions);
+        for action in actions {
+            match action {
+                Action::End { job, outcome } => {
+                    let got = Got { outcome, at: self.now };
+                    let old = self.got.insert((engine, job), got);
+                    assert!(old.is_none(), "batch {job} ended twice: {old:?}");
+                }
+                Action::Owned { target } => self.owned.push((engine, target)),
+                Action::Left { target, fenced } => self.left.push((engine, target, fenced)),
+                call => {
+                    self.add(self.now + DELAY, Item::Arrive { engine, action: call, late: false })
+                }
+            }
+        }
+    }
+
+    fn server_of(&self, action: &Action) -> (usize, OrderId) {
+        let (target, order) = match action {
+            Action::Start { target, order, .. }
+            | Action::Stop { target, order, .. }
+            | Action::Hold { target, order, .. } => (target, *order),
+            other => panic!("no call: {other:?}"),
+        };
+        let server = self.servers.iter().position(|server| server.listing.id == *target);
+        (server.expect("a known target"), order)
+    }
+
+    fn arrive(&mut self, engine: usize, action: Action, late: bool) {
+        let (number, order) = self.server_of(&action);
+        let fault = self.servers[number].fault;
+        if fault.silent {
+            let reply = Reply::Lost;
+            self.add(self.now + TIMEOUT, Item::Give { engine, order, reply });
+            return;
+        }
+        let draw = self.random.u64(..100);
+        let is_start = matches!(action, Action::Start { .. });
+        if is_start && !late && draw < fault.late {
+            let at = self.now + 2000 + self.random.u64(..3000);
+            self.add(at, Item::Arrive { engine, action, late: true });
+            self.add(self.now + TIMEOUT, Item::Give { engine, order, reply: Reply::Lost });
+            return;
+        }
+        self.look(number);
+        let reply = self.carry_out(number, engine, &action);
+        if late {
+            return;
+        }
+        let is_lost = draw >= fault.late && draw < fault.late + fault.lost;
+        match reply {
+            Some(_) if is_lost => {
+                self.add(self.now + TIMEOUT, Item::Give { engine, order, reply: Reply::Lost });
+            }
+            Some(reply) => self.add(self.now + DELAY, Item::Give { engine, order, reply }),
+            None => {}
+        }
+    }
+
+    /// Carries out a call; nothing is answered yet to a hold that waits.
+    fn carry_out(&mut self, number: usize, engine: usize, action: &Action) -> Option<Reply> {
+        let now = self.now;
+        let server = &mut self.servers[number];
+        let clock = Millis(server.clock(now));
+        let denied = |denial| Some(Reply::Denied { denial, clock: Some(clock) });
+        match action {
+            Action::Start { name, run, fence, until, .. } => {
+                if fence.number() < server.fence {
+                    return denied(Denial::Fence);
+                }
+                server.fence = fence.number();
+                if server.running.iter().any(|work| work.name == *name && work.run == *run) {
+                    return Some(Reply::Order(OrderAnswer { clock }));
+                }
+                server.extend(*until, now);
+                if server.killed.iter().any(|(old, last)| old == name && run <= last) {
+                    return denied(Denial::OldRun);
+                }
+                if *until <= clock {
+                    return denied(Denial::Late);
+                }
+                self.begin(number, name, *run);
+                Some(Reply::Order(OrderAnswer { clock }))
+            }
+            Action::Stop { name, run, fence, .. } => {
+                if fence.number() < server.fence {
+                    return denied(Denial::Fence);
+                }
+                server.fence = fence.number();
+                server.killed.push((name.clone(), *run));
+                let at =
+                    server.running.iter().position(|work| work.name == *name && work.run == *run);
+                if let Some(at) = at {
+                    let work = server.running.swap_remove(at);
+                    server.end(&work, Ending::Cut);
+                }
+                self.answer_holds(number);
+                Some(Reply::Order(OrderAnswer { clock }))
+            }
+            Action::Hold { order, fence, until, seen, wait, .. } => {
+                if fence.number() < server.fence {
+                    return denied(Denial::Fence);
+                }
+                server.fence = fence.number();
+                if let Some(until) = until {
+                    server.extend(*until, now);
+                }
+                server.ended.retain(|end| end.number > *seen);
+                if wait.0 == 0 || !server.ended.is_empty() {
+                    return Some(server.report(now));
+                }
+                server.waiting.push((engine, *order, now + wait.0));
+                self.add(now + wait.0, Item::Look { server: number });
+                self.schedule_look(number);
+                None
+            }
+            other => panic!("no call: {other:?}"),
+        }
+    }
+
+    fn begin(&mut self, number: usize, name: &Name, run: u32) {
+        let twice = self.servers.iter().flat_map(|server| &server.running);
+        assert!(twice.clone().all(|work| work.name != *name), "{name} runs twice");
+        let step = &self.specs[&name.job].steps[name.step as usize];
+        for &before in &step.after {
+            let count = self.specs[&name.job].steps[before as usize].count;
+            let is_done = |index| {
+                let name = Name { step: before, index, ..name.clone() };
+                self.done.contains_key(&name)
+            };
+            assert!((0..count).all(is_done), "{name} starts before its turn");
+        }
+        let server = &mut self.servers[number];
+        let late = server.drained_at.is_some_and(|at| self.now > at + 2000);
+        assert!(!late, "{name} starts on a target that left");
+        assert!(server.free().fits(&step.need), "{name} has no room on {}", server.listing.id);
+        let label = step.required_label.as_ref();
+        assert!(label.is_none_or(|label| server.listing.labels.contains(label)), "{name}: label");
+        let of_step = server
+            .running
+            .iter()
+            .filter(|work| work.name.job == name.job && work.name.step == name.step);
+        let most = step.per_target_max.unwrap_or(u32::MAX);
+        assert!(of_step.count() < most as usize, "{name}: too many of a step on one target");
+        let is_far = step
+            .near_rack
+            .as_deref()
+            .is_some_and(|rack| server.listing.rack.as_deref() != Some(rack));
+        let far = if is_far { RULES.far_factor } else { 1.0 };
+        let lasts = (self.lasts[&name.job] as f64 * server.slowness * far) as u64;
+        server.starts += 1;
+        let work = Work { name: name.clone(), run, need: step.need, since: self.now, lasts };
+        if server.fault.fails {
+            *self.failed.entry(name.clone()).or_default() += 1;
+            server.end(&work, Ending::Failed);
+            self.answer_holds(number);
+            return;
+        }
+        server.running.push(work);
+        self.schedule_look(number);
+    }
+
+    /// Has the target looked at when the next of its tasks ends or its lease lapses.
+    fn schedule_look(&mut self, number: usize) {
+        let server = &self.servers[number];
+        let ends = server.running.iter().map(|work| work.since + work.lasts).min();
+        let lapse = self.now
+            + 1
+            + server.lease.saturating_sub(server.clock(self.now)) * 1000 / server.clock_rate;
+        if let Some(end) = ends {
+            self.add(end.max(self.now), Item::Look { server: number });
+            self.add(lapse, Item::Look { server: number });
+        }
+    }
+
+    /// Brings a target up to the present time.
+    fn look(&mut self, number: usize) {
+        let now = self.now;
+        let server = &mut self.servers[number];
+        let lapsed = server.clock(now) >= server.lease;
+        let hangs = server.fault.hangs;
+        for work in std::mem::take(&mut server.running) {
+            if lapsed {
+                server.end(&work, Ending::Cut);
+            } else if !hangs && now >= work.since + work.lasts {
+                *self.done.entry(work.name.clone()).or_default() += 1;
+                server.busy_ms += work.lasts;
+                server.end(&work, Ending::Done);
+            } else {
+                server.running.push(work);
+            }
+        }
+        if !server.running.is_empty() {
+            let next = server.running.iter().map(|work| work.since + work.lasts).min();
+            if let Some(next) = next.filter(|&next| next > now) {
+                self.add(next, Item::Look { server: number });
+            }
+        }
+        self.answer_holds(number);
+    }
+
+    fn answer_holds(&mut self, number: usize) {
+        let now = self.now;
+        let server = &mut self.servers[number];
+        if server.fault.silent {
+            return;
+        }
+        let has_end = !server.ended.is_empty();
+        let due = |&(_, _, until): &(usize, OrderId, u64)| has_end || until <= now;
+        let waiting = std::mem::take(&mut server.waiting);
+        let (due, waiting) = waiting.into_iter().partition::<Vec<_>, _>(due);
+        server.waiting = waiting;
+        let report = server.report(now);
+        for (engine, order, _) in due {
+            self.add(now + DELAY, Item::Give { engine, order, reply: report.clone() });
+        }
+    }
+
+    /// How many tasks run anywhere.
+    pub fn running(&self) -> usize {
+        self.servers.iter().map(|server| server.running.len()).sum()
+    }
+
+    /// The outcome of a batch of engine 0.
+    pub fn outcome(&self, job: u64) -> Option<&Outcome> {
+        self.got.get(&(0, job)).map(|got| &got.outcome)
+    }
+}
+
+impl Server {
+    fn new(listing: Listing) -> Self {
+        Self {
+            listing,
+            slowness: 1.0,
+            fault: Fault::default(),
+            clock_rate: 1000,
+            fence: 0,
+            lease: 0,
+            running: Vec::new(),
+            ended: Vec::new(),
+            next_end: 1,
+            killed: Vec::new(),
+            waiting: Vec::new(),
+            drained_at: None,
+            starts: 0,
+            busy_ms: 0,
+        }
+    }
+
+    const fn clock(&self, now: u64) -> u64 {
+        50_000 + now * self.clock_rate / 1000
+    }
+
+    fn extend(&mut self, until: Millis, now: u64) {
+        let most = self.clock(now) + LEASE;
+        self.lease = self.lease.max(until.0.min(most));
+    }
+
+    fn free(&self) -> Room {
+        self.running.iter().fold(self.listing.room, |free, work| free.without(&work.need))
+    }
+
+    fn end(&mut self, work: &Work, ending: Ending) {
+        self.killed.push((work.name.clone(), work.run));
+        let number = self.next_end;
+        self.next_end += 1;
+        self.ended.push(Ended { number, name: work.name.clone(), run: work.run, ending });
+    }
+
+    fn report(&self, now: u64) -> Reply {
+        let progress = |work: &Work| {
+            let percent = (now - work.since) * 100 / work.lasts.max(1);
+            Some(if self.fault.hangs { 0 } else { percent.min(99) as u32 })
+        };
+        let running = self.running.iter().map(|work| Running {
+            name: work.name.clone(),
+            run: work.run,
+            progress: progress(work),
+        });
+        Reply::Hold(HoldAnswer {
+            clock: Millis(self.clock(now)),
+            life: Some(self.listing.life),
+            running: running.collect(),
+            ended: self.ended.clone(),
+        })
+    }
+
+    /// Starts again under the same id, and knows nothing of before. Gives the calls that get no answer.
+    fn crash(&mut self) -> Vec<(usize, OrderId, u64)> {
+        let waiting = std::mem::take(&mut self.waiting);
+        let mut listing = self.listing.clone();
+        listing.life += 1;
+        let (starts, clock_rate) = (self.starts, self.clock_rate);
+        *self = Self { starts, clock_rate, ..Self::new(listing) };
+        waiting
+    }
+}
