--- a/src/cli/help.rs
+++ b/src/cli/help.rs
@@ -76,9 +76,8 @@
     /// What the command takes.
     pub const fn shape(self) -> Shape {
         let (options, flags, words_max): (&[_], &[_], _) = match self {
-            Self::Main => (&[], &[], 0),
+            Self::Main | Self::Platform => (&[], &[], 0),
             Self::Serve => (&["settings"], &[], 0),
-            Self::Platform => (&[], &[], 0),
             Self::Dev => (&["targets"], &[], 0),
             Self::Submit => (&["entry", "key", "timeout"], &["repeatable"], 1),
             Self::Check => (&[], &[], 1),
--- a/src/ownership/mod.rs
+++ b/src/ownership/mod.rs
@@ -23,6 +23,17 @@
 /// The pause before a target that another VM took may be taken back.
 const RETAKE_AFTER: Millis = Millis(1500);
 
+/// What tells whether a VM lives.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Presence {
+    /// Whether the store lists it.
+    pub registered: bool,
+    /// Whether its link is up.
+    pub linked: bool,
+    /// Whether nothing listens at its address any longer.
+    pub refused: bool,
+}
+
 /// Another VM.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Peer {
@@ -30,14 +41,10 @@
     pub vm: Arc<str>,
     /// Its failure domain.
     pub domain: Arc<str>,
-    /// Whether the store lists it.
-    pub registered: bool,
-    /// Whether its link is up.
-    pub linked: bool,
+    /// What tells whether it lives.
+    pub presence: Presence,
     /// Whether it is being stopped.
     pub draining: bool,
-    /// Whether nothing listens at its address any longer.
-    pub refused: bool,
     /// Whether it said so itself, which the store may not show yet.
     pub says_draining: bool,
     /// What it says that it owns; `None` until it has said anything.
@@ -49,7 +56,8 @@
 impl Peer {
     /// Whether it may still act as an owner: its link is up, or the store still lists it.
     pub const fn is_alive(&self) -> bool {
-        self.linked || (self.registered && !self.refused)
+        let Presence { registered, linked, refused } = self.presence;
+        linked || (registered && !refused)
     }
 }
 
--- a/src/platform/front.rs
+++ b/src/platform/front.rs
@@ -166,9 +166,10 @@
 impl Handler for Ready {
     fn answer(self: Arc<Self>, _request: Request) -> Answering {
         Box::pin(async move {
-            match self.node.is_ready() {
-                true => state(StatusCode::Ok, "ready"),
-                false => state(StatusCode::ServiceUnavailable, "not-ready"),
+            if self.node.is_ready() {
+                state(StatusCode::Ok, "ready")
+            } else {
+                state(StatusCode::ServiceUnavailable, "not-ready")
             }
         })
     }
--- a/src/platform/worker.rs
+++ b/src/platform/worker.rs
@@ -16,8 +16,9 @@
 use crate::store::Entry;
 use crate::vm::{Calling, Runner, Site};
 
-/// How long a start or a stop may go unanswered. The round trip in a failure domain is under a millisecond.
-const ORDER_TIMEOUT: Millis = Millis(300);
+/// How long a start or a stop may go unanswered. The round trip is under a millisecond in a failure domain and
+/// under three across; a timeout that comes too soon costs one look.
+const ORDER_TIMEOUT: Millis = Millis(120);
 
 /// What an answer to a hold may take beyond its wait.
 const HOLD_SLACK: Millis = Millis(250);
--- a/src/schedule/batch.rs
+++ b/src/schedule/batch.rs
@@ -6,6 +6,8 @@
 use crate::batch::{Name, Spec};
 use crate::clock::Millis;
 
+use super::event::Account;
+
 /// How many times its objective a batch may take and still be of use to its caller.
 const USEFUL_FACTOR: u64 = 3;
 
@@ -28,6 +30,10 @@
     pub slack: Millis,
     /// Whether tasks of an earlier submission under the same id have to end first.
     pub awaits_remains: bool,
+    /// When it came here.
+    pub since: Millis,
+    /// What it took so far.
+    pub account: Account,
     /// Whether the start of any task was ever sent.
     pub started: bool,
     open_steps: Vec<u32>,
@@ -52,6 +58,8 @@
 pub(super) struct Times {
     /// When the caller sent it.
     pub sent: Millis,
+    /// When it came here.
+    pub came: Millis,
     /// When the caller leaves.
     pub leaves: Millis,
     /// How long its longest chain lasts.
@@ -81,6 +89,8 @@
             leaves: times.leaves,
             slack: objective - times.chain,
             awaits_remains: false,
+            since: times.came,
+            account: Account::default(),
             open_steps: spec.steps.iter().map(|step| step.count).collect(),
             spec,
             tasks,
--- a/src/schedule/engine.rs
+++ b/src/schedule/engine.rs
@@ -7,7 +7,7 @@
 use crate::clock::Millis;
 
 use super::batch::{Job, Times};
-use super::event::{Action, Event, JobId, Listing, Load, OrderId, Rules};
+use super::event::{Account, Action, Event, JobId, Listing, Load, OrderId, Rules};
 use super::fence::Fence;
 use super::order::Order;
 use super::queue::{Backlog, Class, Queue, Rank};
@@ -71,7 +71,9 @@
             Event::Submit { job, spec, age, patience } => {
                 self.submit(now, job, spec, age, patience, actions);
             }
-            Event::Abandon { job } => self.abandon(job, actions),
+            Event::Abandon { job } => {
+                self.abandon(job, actions);
+            }
             Event::Targets(listings) => self.list(now, listings, actions),
             Event::Take { target, round } => self.take(now, &target, round, actions),
             Event::Answer { order, reply } => self.answer(now, order, reply, actions),
@@ -154,15 +156,18 @@
         actions: &mut Vec<Action>,
     ) {
         let chain = spec.longest_chain(|step| self.expected(&spec, step));
-        let times = Times { sent: now - age, leaves: now + patience, chain };
+        let times = Times { sent: now - age, came: now, leaves: now + patience, chain };
         let mut job = Job::new(spec, times);
         job.awaits_remains = self.has_remains(&job.spec.id);
         if self.draining || !self.could_run(&job) {
-            actions.push(Action::End { job: id, outcome: Outcome::Moved });
+            let account = job.account;
+            actions.push(Action::End { job: id, outcome: Outcome::Moved, account });
             return;
         }
+        job.account.backlog = self.load(now).backlog;
         if let Some(outcome) = self.refusal(now, id, &job) {
-            actions.push(Action::End { job: id, outcome });
+            let account = job.account;
+            actions.push(Action::End { job: id, outcome, account });
             return;
         }
         self.jobs.insert(id, job);
@@ -219,17 +224,19 @@
         self.queue.put(rank, work);
     }
 
-    fn abandon(&mut self, id: JobId, actions: &mut Vec<Action>) {
-        if self.jobs.remove(&id).is_some() {
-            self.queue.remove(id);
-            self.orphan(id, actions);
-        }
+    /// Forgets a batch and stops what still runs of it; gives what became of it.
+    fn abandon(&mut self, id: JobId, actions: &mut Vec<Action>) -> Option<Account> {
+        let job = self.jobs.remove(&id)?;
+        self.queue.remove(id);
+        self.orphan(id, actions);
+        Some(job.account)
     }
 
     /// Ends a batch and stops what still runs of it.
     pub(super) fn end(&mut self, id: JobId, outcome: Outcome, actions: &mut Vec<Action>) {
-        self.abandon(id, actions);
-        actions.push(Action::End { job: id, outcome });
+        if let Some(account) = self.abandon(id, actions) {
+            actions.push(Action::End { job: id, outcome, account });
+        }
     }
 
     fn list(&mut self, now: Millis, listings: Vec<Listing>, actions: &mut Vec<Action>) {
@@ -240,12 +247,11 @@
             }
         }
         for listing in listings {
-            match self.by_id.get(&listing.id) {
-                Some(&number) => self.relist(now, number, listing, actions),
-                None => {
-                    self.by_id.insert(Arc::clone(&listing.id), self.targets.len());
-                    self.targets.push(Target::new(listing, self.token));
-                }
+            if let Some(&number) = self.by_id.get(&listing.id) {
+                self.relist(now, number, listing, actions);
+            } else {
+                self.by_id.insert(Arc::clone(&listing.id), self.targets.len());
+                self.targets.push(Target::new(listing, self.token));
             }
         }
         self.changed = true;
@@ -309,6 +315,7 @@
             self.lapse_runs(now, number);
             self.drop_unlisted(now, number, actions);
             self.release_idle(number, actions);
+            self.look_for_ends(now, number, actions);
             self.tend(now, number, actions);
         }
         self.expire(now, actions);
--- a/src/schedule/event.rs
+++ b/src/schedule/event.rs
@@ -240,6 +240,8 @@
         job: JobId,
         /// How.
         outcome: Outcome,
+        /// What it took.
+        account: Account,
     },
     /// A target is now owned and may be used.
     Owned {
@@ -255,6 +257,21 @@
     },
 }
 
+/// What a batch took, for the line in the log that explains its end.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Account {
+    /// How long the targets needed for what waited when it came.
+    pub backlog: Millis,
+    /// How long its first task waited; `None` if none was started.
+    pub waited: Option<Millis>,
+    /// Starts that were sent.
+    pub starts: u32,
+    /// Tasks that failed.
+    pub failures: u32,
+    /// Tasks that were stopped, lapsed or refused by a target.
+    pub cuts: u32,
+}
+
 /// How busy a VM's targets are; what other VMs go by when they pass a batch on.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Load {
--- a/src/schedule/hold.rs
+++ b/src/schedule/hold.rs
@@ -20,6 +20,12 @@
 /// The pause after a hold that was not answered.
 const PAUSE: Millis = Millis(100);
 
+/// How long after the expected end of a task a look asks for it, though a hold waits: holds get lost too.
+const LOOK_AFTER: Millis = Millis(60);
+
+/// The pause between two such looks.
+const LOOK_EVERY: Millis = Millis(150);
+
 /// The most tasks of other owners that are stopped at once.
 const STOPS_MAX: usize = 64;
 
@@ -50,6 +56,18 @@
         }
     }
 
+    /// Asks a target for the end of a task that should have come.
+    pub(super) fn look_for_ends(&mut self, now: Millis, number: usize, actions: &mut Vec<Action>) {
+        let target = &self.targets[number];
+        let is_quiet = target.phase == Phase::Owned && target.quick_hold.is_none();
+        let is_due = now >= target.heard + LOOK_EVERY && now >= target.hold_due;
+        let mut ends = target.runs.iter().map(|run| run.sent + run.expected + LOOK_AFTER);
+        if is_quiet && is_due && ends.any(|end| end < now) {
+            let order = self.hold(number, None, Millis::ZERO, actions);
+            self.targets[number].quick_hold = Some(order);
+        }
+    }
+
     fn hold(
         &mut self,
         number: usize,
@@ -124,6 +142,7 @@
         }
         let target = &mut self.targets[number];
         target.read_clock(answer.clock, now);
+        target.heard = now;
         if fence == target.fence {
             target.unsure = false;
         }
@@ -156,7 +175,7 @@
         let mut gone = Vec::new();
         for run in &mut target.runs {
             let listed =
-                running.iter().any(|listed| listed.run == run.run && listed.name == run.name);
+                running.iter().any(|listed| listed.run == run.attempt && listed.name == run.name);
             if listed && run.state == State::Ordered {
                 run.state = State::Running;
                 run.confirmed = self.turn;
@@ -166,7 +185,7 @@
             let is_known = run.confirmed > 0 && run.confirmed < turn;
             let has_vanished = is_known && matches!(run.state, State::Running | State::Stopped);
             if !listed && (is_refuted || has_vanished) {
-                gone.push((run.name.clone(), run.run));
+                gone.push((run.name.clone(), run.attempt));
             }
         }
         for (name, run) in gone {
@@ -185,14 +204,13 @@
         });
         let mut strays = Vec::<(Name, u32)>::new();
         for listed in running {
-            match target.find(&listed.name, listed.run) {
-                Some(index) => {
-                    let run = &target.runs[index];
-                    if run.orphan && run.state == State::Running {
-                        strays.push((listed.name.clone(), listed.run));
-                    }
+            if let Some(index) = target.find(&listed.name, listed.run) {
+                let run = &target.runs[index];
+                if run.orphan && run.state == State::Running {
+                    strays.push((listed.name.clone(), listed.run));
                 }
-                None => {
+            } else {
+                {
                     let known = target
                         .foreign
                         .iter()
--- a/src/schedule/mod.rs
+++ b/src/schedule/mod.rs
@@ -17,7 +17,7 @@
 
 pub use engine::Engine;
 pub use event::{
-    Action, Denial, Ended, Ending, Event, HoldAnswer, JobId, Listing, Load, OrderAnswer, OrderId,
-    Reply, Rules, Running,
+    Account, Action, Denial, Ended, Ending, Event, HoldAnswer, JobId, Listing, Load, OrderAnswer,
+    OrderId, Reply, Rules, Running,
 };
 pub use fence::Fence;
--- a/src/schedule/order.rs
+++ b/src/schedule/order.rs
@@ -31,11 +31,11 @@
         let Some(sent) = self.orders.remove(&order) else { return };
         let number = match sent {
             Order::Start { target, name, run, fence } => {
-                self.start_answered(now, target, (&name, run), fence, reply, actions);
+                self.start_answered(now, target, (&name, run), fence, &reply, actions);
                 target
             }
             Order::Stop { target, name, run, fence } => {
-                self.stop_answered(now, target, (&name, run), fence, reply, actions);
+                self.stop_answered(now, target, (&name, run), fence, &reply, actions);
                 target
             }
             Order::Hold { target, fence, turn } => {
@@ -60,6 +60,8 @@
         let lapse = self.lapse(now);
         let Some(job) = self.jobs.get_mut(&id) else { return };
         job.started = true;
+        job.account.waited.get_or_insert(now - job.since);
+        job.account.starts += 1;
         job.tasks[task].run += 1;
         let spec = Arc::clone(&job.spec);
         let (name, run) = (job.name(task), job.tasks[task].run);
@@ -76,7 +78,7 @@
             job: id,
             task,
             name: name.clone(),
-            run,
+            attempt: run,
             need: step.need,
             state: State::Ordered,
             fence,
@@ -120,7 +122,7 @@
             for run in of_job {
                 run.orphan = true;
                 if matches!(run.state, State::Ordered | State::Running) {
-                    to_stop.push((run.name.clone(), run.run));
+                    to_stop.push((run.name.clone(), run.attempt));
                 }
             }
             for (name, run) in to_stop {
@@ -135,7 +137,7 @@
         number: usize,
         (name, run): (&Name, u32),
         fence: Fence,
-        reply: Reply,
+        reply: &Reply,
         actions: &mut Vec<Action>,
     ) {
         let turn = self.turn;
@@ -153,19 +155,17 @@
             }
             Reply::Denied { denial, clock } => {
                 if let Some(clock) = clock {
-                    target.read_clock(clock, now);
+                    target.read_clock(*clock, now);
                 }
-                self.start_denied(now, number, (name, run), fence, denial, actions);
+                self.start_denied(now, number, (name, run), fence, *denial, actions);
             }
             Reply::Unsent => {
                 target.health.unwell(now);
                 target.unsure = true;
                 self.refute(now, number, name, run);
             }
-            Reply::Lost | Reply::Hold(_) => {
-                target.health.unwell(now);
-                target.raise();
-            }
+            // The next look, under a higher token, shows whether it arrived.
+            Reply::Lost | Reply::Hold(_) => target.raise(),
         }
     }
 
@@ -222,6 +222,7 @@
             return;
         }
         if let Some(job) = self.jobs.get_mut(&run.job) {
+            job.account.cuts += 1;
             job.put_back(run.task);
             self.enqueue(now, run.job);
         }
@@ -233,7 +234,7 @@
         number: usize,
         (name, run): (&Name, u32),
         fence: Fence,
-        reply: Reply,
+        reply: &Reply,
         actions: &mut Vec<Action>,
     ) {
         let turn = self.turn;
@@ -318,6 +319,7 @@
         actions: &mut Vec<Action>,
     ) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
+        job.account.failures += 1;
         job.tasks[task].failures += 1;
         job.tasks[task].failed_on = Some(number);
         if job.tasks[task].failures >= job.spec.terms.attempts {
--- a/src/schedule/stall.rs
+++ b/src/schedule/stall.rs
@@ -49,7 +49,7 @@
         }
         let is_stalled = |run: &&Run| run.state == State::Running && is_stalled(now, run);
         let stalled = target.runs.iter().filter(is_stalled);
-        let stalled = stalled.map(|run| (run.name.clone(), run.run)).collect::<Vec<_>>();
+        let stalled = stalled.map(|run| (run.name.clone(), run.attempt)).collect::<Vec<_>>();
         let is_other = |(other, target): (usize, &Target)| other != number && target.is_sound(now);
         let has_other = self.targets.iter().enumerate().any(is_other);
         if stalled.is_empty() || !has_other {
--- a/src/schedule/target.rs
+++ b/src/schedule/target.rs
@@ -55,6 +55,8 @@
     pub unsure: bool,
     /// When the next quick hold may be sent.
     pub hold_due: Millis,
+    /// When a hold was answered last.
+    pub heard: Millis,
     /// When all that runs there has surely lapsed, if no lease is renewed.
     pub lapse_by: Millis,
     pub health: Health,
@@ -75,7 +77,8 @@
     /// The number of the task in its job.
     pub task: usize,
     pub name: Name,
-    pub run: u32,
+    /// Which start of the task.
+    pub attempt: u32,
     pub need: Room,
     pub state: State,
     /// The token under which it was ordered.
@@ -121,6 +124,7 @@
             quick_hold: None,
             unsure: false,
             hold_due: Millis::ZERO,
+            heard: Millis::ZERO,
             lapse_by: Millis::ZERO,
             health: Health::default(),
             track: Track::default(),
@@ -165,7 +169,7 @@
 
     /// The run of a task.
     pub fn find(&self, name: &Name, run: u32) -> Option<usize> {
-        self.runs.iter().position(|known| known.run == run && known.name == *name)
+        self.runs.iter().position(|known| known.attempt == run && known.name == *name)
     }
 
     /// Raises the token, so that whatever was sent under the old one and has not arrived is refused.
--- a/src/vm/core.rs
+++ b/src/vm/core.rs
@@ -6,10 +6,11 @@
 use smol::channel::{self, Receiver, Sender};
 
 use crate::batch::{Outcome, Spec};
-use crate::clock::Millis;
+use crate::clock::{Clock, Millis};
+use crate::event;
 use crate::job::Incarnation;
 use crate::ownership::Ownership;
-use crate::schedule::{Action, Engine, Event, JobId, Load};
+use crate::schedule::{Account, Action, Engine, Event, JobId, Load};
 
 /// The state that decisions are made on.
 #[derive(Debug)]
@@ -20,10 +21,20 @@
     pub loads: BTreeMap<Incarnation, Load>,
     /// The highest round that any VM has named.
     pub round: u64,
-    waiting: HashMap<JobId, Sender<Outcome>>,
+    waiting: HashMap<JobId, Waiter>,
     /// Batches that other VMs passed on, by the VM and its number.
     passed_on: HashMap<(Incarnation, u64), JobId>,
     next_job: JobId,
+    clock: Clock,
+}
+
+/// Who waits for a batch.
+#[derive(Debug)]
+struct Waiter {
+    /// The caller's id of the batch.
+    id: Arc<str>,
+    since: Millis,
+    sender: Sender<Outcome>,
 }
 
 /// What is to be done outside the lock.
@@ -40,7 +51,7 @@
 }
 
 impl Core {
-    pub fn new(engine: Engine, ownership: Ownership) -> Self {
+    pub fn new(engine: Engine, ownership: Ownership, clock: Clock) -> Self {
         Self {
             engine,
             ownership,
@@ -49,6 +60,7 @@
             waiting: HashMap::new(),
             passed_on: HashMap::new(),
             next_job: 1,
+            clock,
         }
     }
 
@@ -58,7 +70,7 @@
         self.engine.handle(now, event, &mut actions);
         for action in actions {
             match action {
-                Action::End { job, outcome } => self.finish(job, outcome),
+                Action::End { job, outcome, account } => self.finish(job, outcome, &account),
                 Action::Owned { target } => {
                     self.ownership.gain(&target);
                     work.owns_changed = true;
@@ -86,7 +98,8 @@
         let job = self.next_job;
         self.next_job += 1;
         let (sender, outcome) = channel::bounded(1);
-        self.waiting.insert(job, sender);
+        let id = Arc::clone(&spec.id);
+        self.waiting.insert(job, Waiter { id, since: now, sender });
         self.handle(now, Event::Submit { job, spec, age, patience }, work);
         (job, outcome)
     }
@@ -116,10 +129,25 @@
         }
     }
 
-    fn finish(&mut self, job: JobId, outcome: Outcome) {
+    fn finish(&mut self, job: JobId, outcome: Outcome, account: &Account) {
         self.passed_on.retain(|_, known| *known != job);
-        if let Some(waiting) = self.waiting.remove(&job) {
-            drop(waiting.try_send(outcome));
-        }
+        let Some(caller) = self.waiting.remove(&job) else { return };
+        let Account { backlog, waited, starts, failures, cuts } = *account;
+        let waited = waited.map_or_else(|| "never".to_owned(), |waited| waited.0.to_string());
+        let took = self.clock.now() - caller.since;
+        event!(
+            info,
+            "batch-run",
+            job = caller.id,
+            outcome = outcome,
+            ms = took.0,
+            backlog_ms = backlog.0,
+            waited_ms = waited,
+            starts = starts,
+            failures = failures,
+            cuts = cuts,
+        );
+        // The receiver is gone if its caller has just left.
+        drop(caller.sender.try_send(outcome));
     }
 }
--- a/src/vm/node.rs
+++ b/src/vm/node.rs
@@ -16,7 +16,7 @@
 use crate::job::Incarnation;
 use crate::membership::Membership;
 use crate::metrics::{Counter, Gauge, Metrics};
-use crate::ownership::{Ownership, Peer, Place};
+use crate::ownership::{Ownership, Peer, Place, Presence};
 use crate::peer::Links;
 use crate::route::Table;
 use crate::runtime;
@@ -81,7 +81,7 @@
     pub(super) adapter: Arc<dyn Adapter>,
     pub(super) clock: Clock,
     core: Mutex<Core>,
-    runners: Mutex<HashMap<Arc<str>, (Site, Arc<dyn Runner>)>>,
+    runners: Mutex<HashMap<Arc<str>, Reached>>,
     /// The racks' failure domains, the targets' too.
     pub(super) places: ArcSwap<Places>,
     pub(super) routes: ArcSwap<Table>,
@@ -102,6 +102,13 @@
     next_tick: AtomicU64,
 }
 
+/// A target that can be called.
+#[derive(Debug)]
+struct Reached {
+    site: Site,
+    runner: Arc<dyn Runner>,
+}
+
 /// Which targets stand on which rack.
 #[derive(Debug, Default)]
 pub(super) struct Places {
@@ -121,6 +128,7 @@
     ) -> Self {
         let engine = Engine::new(incarnation.0, settings.rules);
         let ownership = Ownership::new(&settings.vm, &settings.domain);
+        let clock = Clock::start();
         Self {
             incarnation,
             links,
@@ -129,8 +137,8 @@
             traffic: Arc::default(),
             metrics: Arc::default(),
             adapter,
-            clock: Clock::start(),
-            core: Mutex::new(Core::new(engine, ownership)),
+            clock,
+            core: Mutex::new(Core::new(engine, ownership, clock)),
             runners: Mutex::default(),
             places: ArcSwap::default(),
             routes: ArcSwap::default(),
@@ -249,8 +257,8 @@
             Action::End { .. } | Action::Owned { .. } | Action::Left { .. } => return,
         };
         let runners = self.runners.lock().unwrap_or_else(PoisonError::into_inner);
-        let Some((_, runner)) = runners.get(target) else { return };
-        let calling = Arc::clone(runner).call(action);
+        let Some(reached) = runners.get(target) else { return };
+        let calling = Arc::clone(&reached.runner).call(action);
         drop(runners);
         let node = Arc::clone(self);
         runtime::spawn(async move {
@@ -277,9 +285,10 @@
                     places.racks.entry(rack.to_string()).or_default().push(Arc::clone(&id));
                 }
                 let is_new =
-                    runners.get(&id).is_none_or(|(known, _)| known.address != site.address);
+                    runners.get(&id).is_none_or(|known| known.site.address != site.address);
                 if is_new {
-                    runners.insert(id, (site.clone(), self.adapter.runner(site)));
+                    let runner = self.adapter.runner(site);
+                    runners.insert(id, Reached { site: site.clone(), runner });
                 }
             }
         }
@@ -316,10 +325,12 @@
             let peer = Peer {
                 vm: Arc::from(member.vm.as_str()),
                 domain: Arc::from(member.domain.as_str()),
-                registered: true,
-                linked: up.contains_key(&id),
+                presence: Presence {
+                    registered: true,
+                    linked: up.contains_key(&id),
+                    refused: refused.contains(&member.peers),
+                },
                 draining: member.draining,
-                refused: refused.contains(&member.peers),
                 says_draining: false,
                 owns: None,
                 known_since: Millis::ZERO,
@@ -330,10 +341,8 @@
             peers.entry(id).or_insert_with(|| Peer {
                 vm: Arc::from(link.hello.vm.as_str()),
                 domain: Arc::from(link.hello.domain.as_str()),
-                registered: false,
-                linked: true,
+                presence: Presence { registered: false, linked: true, refused: false },
                 draining: false,
-                refused: false,
                 says_draining: false,
                 owns: None,
                 known_since: Millis::ZERO,
--- a/src/vm/peers.rs
+++ b/src/vm/peers.rs
@@ -49,7 +49,7 @@
                     core.abandon(now, job, work);
                 }
             }),
-            Note::Owns(owns) => self.take_owns(from, owns),
+            Note::Owns(owns) => self.take_owns(from, &owns),
             Note::Busy(busy) => self.take_busy(from, busy),
             Note::Slots(_) | Note::News(_) => {
                 event!(debug, "note-ignored", reason = "no slots and no sections on this platform");
@@ -102,7 +102,7 @@
 }
 
 impl Node {
-    fn take_owns(self: &Arc<Self>, from: Incarnation, owns: Owns) {
+    fn take_owns(self: &Arc<Self>, from: Incarnation, owns: &Owns) {
         let targets = owns.targets.iter().map(|id| Arc::from(id.as_str())).collect();
         self.with_core(|core, _, _| {
             core.round = core.round.max(owns.round);
--- a/src/vm/submit.rs
+++ b/src/vm/submit.rs
@@ -150,7 +150,8 @@
             candidates.push((Owner::Own, own, is_near));
         }
         for (vm, peer) in core.ownership.alive() {
-            let Some(owns) = peer.owns.as_ref().filter(|_| peer.linked && !peer.draining) else {
+            let Some(owns) = peer.owns.as_ref().filter(|_| peer.presence.linked && !peer.draining)
+            else {
                 continue;
             };
             let Some(load) = core.loads.get(&vm).filter(|load| load.total_cpu > 0) else {
--- a/tests/schedule/model.rs
+++ b/tests/schedule/model.rs
@@ -285,7 +285,7 @@
         self.engines[engine].handle(Millis(self.now), event, &mut actions);
         for action in actions {
             match action {
-                Action::End { job, outcome } => {
+                Action::End { job, outcome, .. } => {
                     let got = Got { outcome, at: self.now };
                     let old = self.got.insert((engine, job), got);
                     assert!(old.is_none(), "batch {job} ended twice: {old:?}");
@@ -293,7 +293,7 @@
                 Action::Owned { target } => self.owned.push((engine, target)),
                 Action::Left { target, fenced } => self.left.push((engine, target, fenced)),
                 call => {
-                    self.add(self.now + DELAY, Item::Arrive { engine, action: call, late: false })
+                    self.add(self.now + DELAY, Item::Arrive { engine, action: call, late: false });
                 }
             }
         }
@@ -575,7 +575,7 @@
         let mut listing = self.listing.clone();
         listing.life += 1;
         let (starts, clock_rate) = (self.starts, self.clock_rate);
-        *self = Self { starts, clock_rate, ..Self::new(listing) };
+        *self = Self { clock_rate, starts, ..Self::new(listing) };
         waiting
     }
 }
