--- a/src/schedule/queue.rs
+++ b/src/schedule/queue.rs
@@ -49,6 +49,8 @@
 pub(super) struct Rank {
     /// What its end is still worth to its caller.
     pub class: Class,
+    /// Whether none of its tasks was started: what has begun is ended first, or its work is in vain.
+    pub fresh: bool,
     /// When it must start.
     pub latest_start: Millis,
     /// Its queue's priority.
@@ -60,7 +62,13 @@
 impl Rank {
     pub fn of(id: JobId, job: &Job, class: Class) -> Self {
         let latest_start = job.latest_start();
-        Self { class, latest_start, priority: job.spec.terms.priority, job: id }
+        Self {
+            class,
+            fresh: !job.started,
+            latest_start,
+            priority: job.spec.terms.priority,
+            job: id,
+        }
     }
 }
 
