Put a batch that comes too late for its objective behind those that can still meet theirs

Cause: a new batch with an early start was put before others whatever waited, so under overload all became late in turn. Its class is now decided once, with what is ahead of it.

--- a/src/schedule/batch.rs
+++ b/src/schedule/batch.rs
@@ -28,6 +28,8 @@
     pub leaves: Millis,
     /// How long its first task could wait when it came.
     pub slack: Millis,
+    /// Whether it was too late for its objective already when it came.
+    pub demoted: bool,
     /// Whether tasks of an earlier submission under the same id have to end first.
     pub awaits_remains: bool,
     /// When it came here.
@@ -89,6 +91,7 @@
             leaves: times.leaves,
             slack: objective - times.chain,
             awaits_remains: false,
+            demoted: false,
             since: times.came,
             account: Account::default(),
             open_steps: spec.steps.iter().map(|step| step.count).collect(),
--- a/src/schedule/engine.rs
+++ b/src/schedule/engine.rs
@@ -165,7 +165,7 @@
             return;
         }
         job.account.backlog = self.load(now).backlog;
-        if let Some(outcome) = self.refusal(now, id, &job) {
+        if let Some(outcome) = self.refusal(now, id, &mut job) {
             let account = job.account;
             actions.push(Action::End { job: id, outcome, account });
             return;
@@ -176,16 +176,23 @@
     }
 
     /// Refuses a batch that can't end in time behind what waits already.
-    fn refusal(&self, now: Millis, id: JobId, job: &Job) -> Option<Outcome> {
+    fn refusal(&self, now: Millis, id: JobId, job: &mut Job) -> Option<Outcome> {
         let factor = self.best_factor(now, job)?;
         let class = Class::of(job, now + scaled(job.chain, factor));
-        let ahead = self.queue.ahead_of(&Rank::of(id, job, class));
-        let capacity = self.load(now).total_cpu;
-        let wait = Backlog::time(ahead, capacity);
-        let end = now + wait + scaled(job.chain, factor);
+        let end = self.expected_end(now, id, job, class, factor);
+        let class = class.max(Class::of(job, end));
+        let end = self.expected_end(now, id, job, class, factor);
+        job.demoted = class != Class::Timely;
         (end > job.useful_until).then(|| self.overload(now))
     }
 
+    /// When a batch of a class would end behind what waits ahead of it.
+    fn expected_end(&self, now: Millis, id: JobId, job: &Job, class: Class, factor: f64) -> Millis {
+        let ahead = self.queue.ahead_of(&Rank::of(id, job, class));
+        let wait = Backlog::time(ahead, self.load(now).total_cpu);
+        now + wait + scaled(job.chain, factor)
+    }
+
     pub(super) fn overload(&self, now: Millis) -> Outcome {
         let retry_after = self.load(now).backlog.max(RETRY_AFTER_MIN);
         Outcome::Refused { reason: Refusal::Overload, retry_after }
--- a/src/schedule/queue.rs
+++ b/src/schedule/queue.rs
@@ -25,7 +25,7 @@
 impl Class {
     /// The class of a batch that is expected to end at `end` if its next task starts now.
     pub fn of(job: &Job, end: Millis) -> Self {
-        if end <= job.objective_at {
+        if end <= job.objective_at && !job.demoted {
             Self::Timely
         } else if end <= job.useful_until {
             Self::Late
--- a/src/vm/submit.rs
+++ b/src/vm/submit.rs
@@ -144,7 +144,7 @@
         let own = core.engine.load(self.clock.now());
         let mut candidates = Vec::<(Owner, Load, bool)>::new();
         if own.total_cpu > 0 {
-            let is_near = near.is_some_and(|targets| {
+            let is_near = near.is_none_or(|targets| {
                 targets.iter().any(|target| core.ownership.own().contains(target))
             });
             candidates.push((Owner::Own, own, is_near));
@@ -165,10 +165,18 @@
         }
         drop(core);
         candidates.retain(|(owner, ..)| !tried.contains(owner));
+        let away = match near {
+            // Away from its data a batch lasts that much longer.
+            Some(_) => {
+                let chain = spec.longest_chain(|step| step.estimate);
+                Millis((chain.0 as f64 * (self.settings.rules.far_factor - 1.0)) as u64)
+            }
+            None => AWAY_COST,
+        };
         let need = spec.steps.first().map_or(0, |step| step.need.cpu);
         candidates
             .into_iter()
-            .min_by_key(|(owner, load, is_near)| cost(*owner, load, *is_near, need))
+            .min_by_key(|(_, load, is_near)| cost(load, *is_near, away, need))
             .map(|(owner, ..)| owner)
     }
 
@@ -204,12 +212,8 @@
 }
 
 /// What an owner costs a batch: the smallest is taken.
-fn cost(owner: Owner, load: &Load, is_near: bool, need: u64) -> (Millis, u64) {
-    let away = match owner {
-        Owner::Own => Millis::ZERO,
-        Owner::Peer(_) if is_near => Millis::ZERO,
-        Owner::Peer(_) => AWAY_COST,
-    };
+fn cost(load: &Load, is_near: bool, away: Millis, need: u64) -> (Millis, u64) {
+    let away = if is_near { Millis::ZERO } else { away };
     let is_full = load.free_cpu < need;
     let full = if is_full { AWAY_COST } else { Millis::ZERO };
     let used = load.total_cpu - load.free_cpu.min(load.total_cpu);
