Test real processes among stand-ins for the platform, and keep what unknown VMs say

The stand-ins: a store with revisions, leases and watches, and workers that obey tokens and leases and note what runs twice or without room. Causes: two VMs of a domain that start at once each saw only itself and took the same targets; what a VM said before its registration showed was dropped for good; and a batch that waited for an owner was not woken by news of its load. A VM now takes targets once its own registration shows, notes are kept by the run that sent them, and such news wakes. Ruled out: the tokens (each duel ended as they say).

--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -89,7 +89,7 @@
     }
 
     /// Whether the store shows this VM's registration as it is.
-    fn is_registered(&self) -> bool {
+    pub fn is_registered(&self) -> bool {
         self.view.load().members.value.get(&self.incarnation) == Some(&**self.own.load())
     }
 }
--- a/src/ownership/mod.rs
+++ b/src/ownership/mod.rs
@@ -45,8 +45,6 @@
     pub presence: Presence,
     /// Whether it is being stopped.
     pub draining: bool,
-    /// Whether it said so itself, which the store may not show yet.
-    pub says_draining: bool,
     /// What it says that it owns; `None` until it has said anything.
     pub owns: Option<BTreeSet<Arc<str>>>,
     /// When it was heard of first.
@@ -61,6 +59,13 @@
     }
 }
 
+/// What a VM said of itself.
+#[derive(Clone, Debug, Default)]
+struct Said {
+    owns: BTreeSet<Arc<str>>,
+    draining: bool,
+}
+
 /// A target, as far as its owner matters.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Place {
@@ -76,6 +81,8 @@
     vm: Arc<str>,
     domain: Arc<str>,
     peers: BTreeMap<Incarnation, Peer>,
+    /// What VMs said, which may come before anything else is known of them.
+    said: BTreeMap<Incarnation, Said>,
     targets: BTreeMap<Arc<str>, Place>,
     own: BTreeSet<Arc<str>>,
     lost_at: BTreeMap<Arc<str>, Millis>,
@@ -91,6 +98,7 @@
             vm: Arc::from(vm),
             domain: Arc::from(domain),
             peers: BTreeMap::new(),
+            said: BTreeMap::new(),
             targets: BTreeMap::new(),
             own: BTreeSet::new(),
             lost_at: BTreeMap::new(),
@@ -99,16 +107,25 @@
         }
     }
 
-    /// Replaces what is known of the other VMs. What they own stays known.
+    /// Replaces what is known of the other VMs. What they said stays known as long as they are.
     pub fn set_peers(&mut self, now: Millis, peers: impl IntoIterator<Item = (Incarnation, Peer)>) {
-        let mut old = std::mem::take(&mut self.peers);
-        for (id, mut peer) in peers {
-            let known = old.remove(&id);
-            peer.known_since = known.as_ref().map_or(now, |known| known.known_since);
-            peer.says_draining = known.as_ref().is_some_and(|known| known.says_draining);
-            peer.draining |= peer.says_draining;
-            peer.owns = known.and_then(|known| known.owns);
-            self.peers.insert(id, peer);
+        let old = std::mem::take(&mut self.peers);
+        self.peers = peers.into_iter().collect();
+        for (id, peer) in &mut self.peers {
+            peer.known_since = old.get(id).map_or(now, |known| known.known_since);
+        }
+        for id in old.keys().filter(|id| !self.peers.contains_key(id)) {
+            self.said.remove(id);
+        }
+        self.apply_said();
+    }
+
+    fn apply_said(&mut self) {
+        for (id, said) in &self.said {
+            if let Some(peer) = self.peers.get_mut(id) {
+                peer.draining |= said.draining;
+                peer.owns = Some(said.owns.clone());
+            }
         }
     }
 
@@ -117,19 +134,10 @@
         self.targets = targets;
     }
 
-    /// Notes what another VM says that it owns.
-    pub fn tell(&mut self, from: Incarnation, owns: BTreeSet<Arc<str>>) {
-        if let Some(peer) = self.peers.get_mut(&from) {
-            peer.owns = Some(owns);
-        }
-    }
-
-    /// Notes whether another VM says that it is being stopped.
-    pub fn tell_draining(&mut self, from: Incarnation, draining: bool) {
-        if let Some(peer) = self.peers.get_mut(&from) {
-            peer.draining |= draining;
-            peer.says_draining = draining;
-        }
+    /// Notes what another VM says that it owns, and whether it is being stopped.
+    pub fn tell(&mut self, from: Incarnation, owns: BTreeSet<Arc<str>>, draining: bool) {
+        self.said.insert(from, Said { owns, draining });
+        self.apply_said();
     }
 
     /// Notes that this VM owns a target.
--- a/src/vm/announce.rs
+++ b/src/vm/announce.rs
@@ -29,11 +29,12 @@
         Busy { load, routes: self.routes.load().version }
     }
 
-    /// Tells all VMs which targets this one owns.
+    /// Tells all VMs which targets this one owns, and how busy they are.
     pub(super) fn tell_owns(&self) {
-        let note = self.owns();
+        let (owns, busy) = (self.owns(), self.busy());
         for link in self.links.up().values() {
-            link.note(note.clone());
+            link.note(owns.clone());
+            link.note(Note::Busy(busy));
         }
     }
 
--- a/src/vm/node.rs
+++ b/src/vm/node.rs
@@ -30,6 +30,9 @@
 /// The longest time between two ticks.
 const TICK_MAX: Millis = Millis(250);
 
+/// How long a VM that starts waits for its registration to show in the store before it takes targets.
+const REGISTER_MAX: Millis = Millis(600);
+
 /// What a VM is told at its start.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -304,9 +307,13 @@
     /// Brings the view of the other VMs up to date, and takes the targets that this VM should own.
     pub(super) fn review(self: &Arc<Self>) {
         let peers = self.known_peers();
+        // Of two VMs that start at once at least one sees the other's registration beside its own.
+        let may_take = self.membership.is_registered() || self.now() > REGISTER_MAX;
         self.with_core(|core, now, work| {
             core.ownership.set_peers(now, peers);
-            core.loads.retain(|vm, _| core.ownership.alive().any(|(id, _)| id == *vm));
+            if !may_take {
+                return;
+            }
             for target in core.ownership.to_take(now) {
                 let round = core.round;
                 core.handle(now, Event::Take { target, round }, work);
@@ -331,7 +338,6 @@
                     refused: refused.contains(&member.peers),
                 },
                 draining: member.draining,
-                says_draining: false,
                 owns: None,
                 known_since: Millis::ZERO,
             };
@@ -343,7 +349,6 @@
                 domain: Arc::from(link.hello.domain.as_str()),
                 presence: Presence { registered: false, linked: true, refused: false },
                 draining: false,
-                says_draining: false,
                 owns: None,
                 known_since: Millis::ZERO,
             });
--- a/src/vm/peers.rs
+++ b/src/vm/peers.rs
@@ -71,7 +71,11 @@
 
     fn left(&self, from: Incarnation) {
         // Weak spots of the link are no reason to run on: whoever passed the batches on sends them anew.
-        let jobs = self.lock().passed_on_by(from);
+        let jobs = {
+            let mut core = self.lock();
+            core.loads.remove(&from);
+            core.passed_on_by(from)
+        };
         if !jobs.is_empty() {
             event!(
                 warn,
@@ -106,15 +110,18 @@
         let targets = owns.targets.iter().map(|id| Arc::from(id.as_str())).collect();
         self.with_core(|core, _, _| {
             core.round = core.round.max(owns.round);
-            core.ownership.tell(from, targets);
-            core.ownership.tell_draining(from, owns.draining);
+            core.ownership.tell(from, targets, owns.draining);
         });
         self.owners_changed.notify(usize::MAX);
         self.review();
     }
 
     fn take_busy(self: &Arc<Self>, from: Incarnation, busy: Busy) {
-        self.lock().loads.insert(from, busy.load);
+        let had_room =
+            self.lock().loads.insert(from, busy.load).is_some_and(|old| old.total_cpu > 0);
+        if !had_room && busy.load.total_cpu > 0 {
+            self.owners_changed.notify(usize::MAX);
+        }
         if busy.routes > self.routes.load().version {
             runtime::spawn(Arc::clone(self).fetch_routes(from)).detach();
         }
--- /dev/null
+++ b/tests/ownership.rs
@@ -0,0 +1,163 @@
+//! Who takes which target, and when.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use gypsumkeel::clock::Millis;
+use gypsumkeel::job::Incarnation;
+use gypsumkeel::ownership::{Ownership, Peer, Place, Presence};
+
+const ALIVE: Presence = Presence { registered: true, linked: true, refused: false };
+
+fn id(number: u128) -> Incarnation {
+    Incarnation(number)
+}
+
+fn peer(vm: &str, domain: &str, presence: Presence) -> Peer {
+    Peer {
+        vm: Arc::from(vm),
+        domain: Arc::from(domain),
+        presence,
+        draining: false,
+        owns: None,
+        known_since: Millis::ZERO,
+    }
+}
+
+fn targets(domain: &str, count: usize) -> BTreeMap<Arc<str>, Place> {
+    let place = Place { domain: Arc::from(domain), wanted: true };
+    (0..count).map(|number| (Arc::from(format!("{domain}{number}")), place.clone())).collect()
+}
+
+fn owned(domain: &str, count: usize) -> BTreeSet<Arc<str>> {
+    targets(domain, count).into_keys().collect()
+}
+
+/// The views of VMs `vms` of domain a, which all know each other and have said that they own nothing.
+fn views(vms: &[&str]) -> Vec<Ownership> {
+    let view = |own: usize| {
+        let mut view = Ownership::new(vms[own], "a");
+        view.set_targets(targets("a", 16));
+        let others = vms.iter().enumerate().filter(|(other, _)| *other != own);
+        let others = others.map(|(other, vm)| (id(other as u128), peer(vm, "a", ALIVE)));
+        view.set_peers(Millis(0), others);
+        (0..vms.len()).for_each(|other| view.tell(id(other as u128), BTreeSet::new(), false));
+        view
+    };
+    (0..vms.len()).map(view).collect()
+}
+
+#[test]
+fn all_views_choose_the_same_owner() {
+    let vms = ["v0", "v1", "v2"];
+    let taken =
+        views(&vms).iter_mut().map(|view| view.to_take(Millis(1000)).len()).collect::<Vec<_>>();
+    assert_eq!(taken.iter().sum::<usize>(), 16, "{taken:?}");
+    assert_eq!(taken.iter().filter(|&&count| count > 0).count(), 1, "{taken:?}");
+}
+
+#[test]
+fn many_targets_have_several_owners() {
+    let vms = ["v0", "v1", "v2", "v3"];
+    let mut total = 0;
+    let mut owners = 0;
+    for mut view in views(&vms) {
+        view.set_targets(targets("a", 96));
+        let taken = view.to_take(Millis(1000)).len();
+        total += taken;
+        owners += usize::from(taken > 0);
+    }
+    assert_eq!((total, owners), (96, 4));
+}
+
+#[test]
+fn an_owner_that_is_alive_keeps_what_it_has() {
+    for presence in [
+        ALIVE,
+        Presence { registered: true, linked: false, refused: false },
+        Presence { registered: false, linked: true, refused: false },
+    ] {
+        let mut view = Ownership::new("v0", "a");
+        view.set_targets(targets("a", 16));
+        view.set_peers(Millis(0), [(id(1), peer("v1", "a", presence))]);
+        view.tell(id(1), owned("a", 16), false);
+        assert!(view.to_take(Millis(60_000)).is_empty(), "{presence:?}");
+    }
+}
+
+#[test]
+fn the_targets_of_a_vm_that_is_gone_are_taken() {
+    for presence in [
+        Presence { registered: false, linked: false, refused: false },
+        Presence { registered: true, linked: false, refused: true },
+    ] {
+        let mut view = Ownership::new("v0", "a");
+        view.set_targets(targets("a", 16));
+        view.set_peers(Millis(0), [(id(1), peer("v1", "a", ALIVE))]);
+        view.tell(id(1), owned("a", 16), false);
+        view.set_peers(Millis(1000), [(id(1), peer("v1", "a", presence))]);
+        assert_eq!(view.to_take(Millis(1000)).len(), 16, "{presence:?}");
+    }
+}
+
+#[test]
+fn what_a_vm_says_before_it_is_known_counts() {
+    let mut view = Ownership::new("v0", "a");
+    view.set_targets(targets("a", 16));
+    view.tell(id(1), owned("a", 16), false);
+    view.set_peers(Millis(0), [(id(1), peer("v1", "a", ALIVE))]);
+    assert!(view.to_take(Millis(60_000)).is_empty());
+    assert_eq!(view.owner("a3"), Some(id(1)));
+}
+
+#[test]
+fn a_vm_that_has_just_come_is_heard_first() {
+    let mut view = Ownership::new("v0", "a");
+    view.set_targets(targets("a", 16));
+    view.set_peers(Millis(1000), [(id(1), peer("v1", "a", ALIVE))]);
+    assert!(view.to_take(Millis(1010)).is_empty());
+    view.tell(id(1), owned("a", 16), false);
+    assert!(view.to_take(Millis(60_000)).is_empty());
+}
+
+#[test]
+fn a_domain_without_vms_is_taken_after_a_while() {
+    let mut view = Ownership::new("v0", "a");
+    view.set_targets(targets("b", 16));
+    assert!(view.to_take(Millis(1000)).is_empty());
+    assert!(view.to_take(Millis(2000)).is_empty());
+    assert_eq!(view.to_take(Millis(2600)).len(), 16);
+    view.set_peers(Millis(3000), [(id(1), peer("v1", "b", ALIVE))]);
+    assert!(view.to_take(Millis(9000)).is_empty(), "its own VM takes them");
+}
+
+#[test]
+fn a_target_lost_to_another_is_left_alone_for_a_while() {
+    let mut view = Ownership::new("v0", "a");
+    view.set_targets(targets("a", 1));
+    let target = Arc::from("a0");
+    view.gain(&target);
+    view.lose(Millis(1000), &target, true);
+    assert!(view.to_take(Millis(1100)).is_empty());
+    assert_eq!(view.to_take(Millis(2600)).len(), 1);
+}
+
+#[test]
+fn a_vm_that_stops_takes_nothing_and_is_not_chosen() {
+    let mut view = Ownership::new("v0", "a");
+    view.set_targets(targets("a", 16));
+    view.set_peers(Millis(0), [(id(1), peer("v1", "a", ALIVE))]);
+    view.tell(id(1), BTreeSet::new(), true);
+    assert_eq!(view.to_take(Millis(1000)).len(), 16);
+    view.drain();
+    assert!(view.to_take(Millis(1000)).is_empty());
+}
+
+#[test]
+fn a_target_that_leaves_is_not_taken() {
+    let mut view = Ownership::new("v0", "a");
+    let mut places = targets("a", 2);
+    places.get_mut("a0").unwrap().wanted = false;
+    view.set_targets(places);
+    assert_eq!(view.to_take(Millis(1000)), [Arc::<str>::from("a1")]);
+}
--- /dev/null
+++ b/tests/platform.rs
@@ -0,0 +1,221 @@
+//! The program on the users' platform: real processes among stand-ins for its store and workers.
+
+#[path = "platform/mod.rs"]
+mod platform;
+
+use std::time::{Duration, Instant};
+
+use gypsumkeel::clock::Millis;
+use platform::{Env, LIMIT, Reply, wait_until};
+use rustix::process::Signal;
+use serde_json::json;
+
+/// The answer of a job that is done.
+fn done() -> Reply {
+    Reply { status: 200, state: "done".to_owned(), retry_after: false }
+}
+
+fn are_done(replies: &[Option<Reply>]) -> bool {
+    replies.iter().all(|reply| reply.as_ref() == Some(&done()))
+}
+
+/// How many replies are answers of jobs that are done.
+fn served(replies: &[Option<Reply>]) -> usize {
+    replies.iter().filter(|reply| reply.as_ref() == Some(&done())).count()
+}
+
+/// The VM of domain a that owns its workers.
+fn owner(env: &Env) -> usize {
+    let owns = |vm: &usize| env.vms[*vm].said(&["event=target-owned", "target=w-a-0"]);
+    wait_until("a VM says that it owns the workers", || (0..2).any(|vm| owns(&vm)));
+    (0..2).find(owns).unwrap()
+}
+
+fn after(limit: Duration) -> impl Fn() -> bool + Sync {
+    let start = Instant::now();
+    move || start.elapsed() > limit
+}
+
+#[test]
+fn jobs_are_served_by_any_vm() {
+    let env = Env::start(2, 2);
+    for vm in 0..4 {
+        assert_eq!(env.submit(vm, vm as u64, 5, 50), Some(done()));
+    }
+    assert_eq!(env.ledger.done.lock().unwrap().len(), 20);
+    assert_eq!(env.get(0, "/holds/"), Some((200, r#"{"pending":0}"#.to_owned())));
+    assert_eq!(env.get(0, "/holds/00000000000000ff").map(|(status, _)| status), Some(410));
+    assert_eq!(env.get(0, "/elsewhere/").map(|(status, _)| status), Some(404));
+    let metrics = env.metrics(0);
+    assert!(metrics.lines().any(|line| line == "batches.done 1"), "{metrics}");
+    let job = format!("job={:016x}", 0);
+    wait_until("the end is logged", || env.vms[0].said(&["event=batch-end", &job, "outcome=done"]));
+    env.check();
+}
+
+#[test]
+fn what_is_not_built_or_makes_no_sense_is_told_at_once() {
+    let env = Env::start(1, 1);
+    let kept = json!({ "spec": "1000 10", "steps": [{ "count": 1, "cpu": 1000, "memMb": 1, "estMs": 10 }] });
+    let reply = env.post(0, 1, &kept, Millis(2000)).unwrap();
+    assert_eq!((reply.status, reply.retry_after), (503, true));
+    let empty = json!({ "spec": "1000 10", "bestEffort": true, "steps": [] });
+    assert_eq!(env.post(0, 2, &empty, Millis(2000)).unwrap().status, 400);
+    let broken = json!({ "spec": 7 });
+    assert_eq!(env.post(0, 3, &broken, Millis(2000)).unwrap().status, 400);
+    let huge = json!({ "spec": "1000 10", "bestEffort": true,
+        "steps": [{ "count": 1, "cpu": 99_000, "memMb": 1, "estMs": 10 }] });
+    let reply = env.post(0, 4, &huge, Millis(2000)).unwrap();
+    assert_eq!((reply.status, reply.retry_after), (503, true));
+    assert_eq!(*env.ledger.starts.lock().unwrap(), 0);
+}
+
+#[test]
+fn a_killed_vm_loses_its_targets_to_another_and_nothing_runs_twice() {
+    let env = Env::start(2, 2);
+    let start = Instant::now();
+    let owner = owner(&env);
+    let other = 1 - owner;
+    let replies = env.load(&[other, 2, 3], 6, || start.elapsed() > Duration::from_secs(1));
+    assert!(are_done(&replies), "{replies:?}");
+    env.vms[owner].kill();
+    let replies = env.load(&[other, 2, 3], 6, after(Duration::from_secs(4)));
+    assert!(replies.iter().all(Option::is_some), "{replies:?}");
+    wait_until("the other VM has its targets", || {
+        ["w-a-0", "w-a-1"]
+            .iter()
+            .all(|target| env.vms[other].said(&["event=target-owned", &format!("target={target}")]))
+    });
+    assert_eq!(env.submit(other, 1 << 40, 4, 50), Some(done()));
+    env.check();
+}
+
+#[test]
+fn a_frozen_vm_yields_to_the_one_that_took_over() {
+    let env = Env::start(2, 2);
+    let owner = owner(&env);
+    env.vms[owner].signal(Signal::STOP);
+    let others = [1 - owner, 2, 3];
+    let replies = env.load(&others, 6, after(Duration::from_secs(4)));
+    assert!(replies.iter().all(Option::is_some), "{replies:?}");
+    env.vms[owner].signal(Signal::CONT);
+    wait_until("it yields", || env.vms[owner].said(&["event=target-left", "fenced=true"]));
+    let replies = env.load(&[0, 1, 2, 3], 6, after(Duration::from_secs(2)));
+    let served = served(&replies);
+    assert!(served * 10 > replies.len() * 9, "{replies:?}");
+    env.check();
+}
+
+#[test]
+fn a_stop_cuts_no_request() {
+    let env = Env::start(2, 2);
+    let vms = [0, 1, 2, 3];
+    let start = Instant::now();
+    let replies = std::thread::scope(|scope| {
+        scope.spawn(|| {
+            std::thread::sleep(Duration::from_millis(500));
+            env.vms[0].signal(Signal::TERM);
+        });
+        // Callers are sent to a stopping VM for two more seconds.
+        env.load(&vms, 6, || start.elapsed() > Duration::from_secs(2))
+    });
+    assert!(replies.iter().all(Option::is_some), "a request was cut: {replies:?}");
+    let served = served(&replies);
+    assert!(served * 20 > replies.len() * 19, "{replies:?}");
+    wait_until("the process ends", || env.vms[0].ended().is_some());
+    assert!(env.vms[0].ended().unwrap().success());
+    wait_until("its registration is gone", || env.store.keys("gypsumkeel/vms/").len() == 3);
+    env.check();
+}
+
+#[test]
+fn settings_are_read_again_and_a_bad_file_changes_nothing() {
+    let env = Env::start(1, 1);
+    env.vms[0].signal(Signal::HUP);
+    wait_until("it has read them", || env.vms[0].said(&["event=reloaded"]));
+    assert_eq!(env.submit(0, 1, 1, 20), Some(done()));
+    assert!(env.vms[0].ended().is_none());
+}
+
+#[test]
+fn an_outage_of_the_store_stops_no_job() {
+    let env = Env::start(2, 1);
+    env.store.set_down(true);
+    let replies = env.load(&[0, 1, 2, 3], 4, after(Duration::from_secs(3)));
+    assert!(are_done(&replies), "{replies:?}");
+    // A VM that starts meanwhile learns the routes from another.
+    env.vms[3].kill();
+    let again = env.launch(3);
+    wait_until("it has the routes", || env.is_ready(3));
+    env.store.set_down(false);
+    env.configure(2, "/other/");
+    for vm in 0..4 {
+        wait_until("the change is in force", || {
+            env.get(vm, "/other/").is_some_and(|(status, _)| status == 200)
+        });
+    }
+    again.kill();
+    env.check();
+}
+
+#[test]
+fn lost_answers_and_a_lost_history_of_the_store_do_no_harm() {
+    let env = Env::start(1, 1);
+    env.store.lose(1);
+    let late = env.launch(0);
+    late.kill();
+    env.store.compact();
+    env.configure(5, "/other/");
+    for vm in 0..2 {
+        wait_until("the change is in force", || {
+            env.get(vm, "/other/").is_some_and(|(status, _)| status == 200)
+        });
+    }
+}
+
+#[test]
+fn the_tasks_of_a_caller_that_hangs_up_are_stopped() {
+    let env = Env::start(1, 2);
+    let body = json!({ "spec": "7000 10000", "bestEffort": true,
+        "steps": [{ "count": 3, "cpu": 7000, "memMb": 64, "estMs": 10_000 }] });
+    assert_eq!(env.post(0, 1, &body, Millis(400)), None);
+    let start = Instant::now();
+    wait_until("nothing runs", || env.workers.iter().all(|worker| worker.running() == 0));
+    assert!(start.elapsed() < Duration::from_millis(700), "{:?}", start.elapsed());
+    assert_eq!(env.ledger.done.lock().unwrap().len(), 0);
+}
+
+#[test]
+fn a_worker_that_crashes_or_goes_silent_costs_a_delay_only() {
+    let env = Env::start(1, 2);
+    let start = Instant::now();
+    let replies = std::thread::scope(|scope| {
+        scope.spawn(|| {
+            std::thread::sleep(Duration::from_millis(500));
+            env.workers[0].crash();
+            env.store
+                .put(&format!("servers/{}", env.workers[0].id), &env.workers[0].entry("ready"));
+            std::thread::sleep(Duration::from_secs(1));
+            env.workers[1].set_silent(true);
+            std::thread::sleep(Duration::from_millis(1500));
+            env.workers[1].set_silent(false);
+        });
+        env.load(&[0, 1], 4, || start.elapsed() > Duration::from_secs(5))
+    });
+    assert!(are_done(&replies), "{replies:?}");
+    env.check();
+}
+
+#[test]
+fn a_worker_that_drains_gets_nothing_more() {
+    let env = Env::start(1, 2);
+    env.store.put(&format!("servers/{}", env.workers[0].id), &env.workers[0].entry("draining"));
+    let replies = env.load(&[0, 1], 3, after(Duration::from_secs(2)));
+    assert!(are_done(&replies), "{replies:?}");
+    let start = Instant::now();
+    wait_until("it is idle", || env.workers[0].running() == 0);
+    assert!(start.elapsed() < LIMIT);
+    env.store.remove(&format!("servers/{}", env.workers[0].id));
+    assert_eq!(env.submit(0, 1 << 40, 2, 50), Some(done()));
+    env.check();
+}
--- /dev/null
+++ b/tests/platform/kv.rs
@@ -0,0 +1,267 @@
+//! The platform's store, as far as the program uses it: items, revisions, leases and watches over HTTP.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use gypsumkeel::http::server::Handler;
+use http_types::{Method, Request, Response};
+use serde_json::{Value, json};
+use smol::Timer;
+
+use super::serve;
+
+/// How often a watch looks for changes.
+const LOOK: Duration = Duration::from_millis(5);
+
+/// The stand-in.
+#[derive(Debug)]
+pub struct Kv {
+    pub address: SocketAddr,
+    state: Arc<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    items: Mutex<Items>,
+    /// Whether every call is answered with 503.
+    down: Mutex<bool>,
+    /// The answers to so many of the next changes are dropped after they took effect.
+    lost: Mutex<u32>,
+}
+
+#[derive(Debug, Default)]
+struct Items {
+    revision: u64,
+    by_key: BTreeMap<String, Item>,
+    removed: BTreeMap<String, u64>,
+    leases: HashMap<u64, (Instant, Duration)>,
+    next_lease: u64,
+    /// Revisions at or below this are forgotten.
+    forgotten: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Item {
+    value: String,
+    revision: u64,
+    lease: u64,
+}
+
+impl Kv {
+    pub fn start() -> Self {
+        let state = Arc::<State>::default();
+        let address = serve(Arc::new(Api(Arc::clone(&state))));
+        Self { address, state }
+    }
+
+    /// Writes a key as the operator or a worker does.
+    pub fn put(&self, key: &str, value: &Value) {
+        let mut items = self.state.items.lock().unwrap();
+        items.put(key, STANDARD.encode(value.to_string()), 0);
+    }
+
+    pub fn remove(&self, key: &str) {
+        self.state.items.lock().unwrap().remove(key);
+    }
+
+    pub fn set_down(&self, down: bool) {
+        *self.state.down.lock().unwrap() = down;
+    }
+
+    /// Drops the answers to the next changes.
+    pub fn lose(&self, answers: u32) {
+        *self.state.lost.lock().unwrap() = answers;
+    }
+
+    /// Forgets all history: watches from before get 410.
+    pub fn compact(&self) {
+        let mut items = self.state.items.lock().unwrap();
+        items.revision += 1;
+        items.forgotten = items.revision;
+    }
+
+    /// The keys below a prefix.
+    pub fn keys(&self, prefix: &str) -> Vec<String> {
+        let mut items = self.state.items.lock().unwrap();
+        items.expire();
+        items.by_key.keys().filter(|key| key.starts_with(prefix)).cloned().collect()
+    }
+}
+
+impl Items {
+    fn put(&mut self, key: &str, value: String, lease: u64) {
+        self.revision += 1;
+        self.removed.remove(key);
+        let item = Item { value, revision: self.revision, lease };
+        self.by_key.insert(key.to_owned(), item);
+    }
+
+    fn remove(&mut self, key: &str) {
+        if self.by_key.remove(key).is_some() {
+            self.revision += 1;
+            self.removed.insert(key.to_owned(), self.revision);
+        }
+    }
+
+    fn expire(&mut self) {
+        let now = Instant::now();
+        let over = self.leases.extract_if(|_, (until, _)| *until <= now);
+        let over = over.map(|(lease, _)| lease).collect::<Vec<_>>();
+        let of_lease = self.by_key.iter().filter(|(_, item)| over.contains(&item.lease));
+        for key in of_lease.map(|(key, _)| key.clone()).collect::<Vec<_>>() {
+            self.remove(&key);
+        }
+    }
+
+    fn below(&self, prefix: &str, after: u64) -> Vec<Value> {
+        let items = self
+            .by_key
+            .iter()
+            .filter(|(key, item)| key.starts_with(prefix) && item.revision > after);
+        let items = items.map(|(key, item)| {
+            json!({ "key": key, "value": item.value, "rev": item.revision,
+                    "createdRev": item.revision, "lease": item.lease })
+        });
+        items.collect()
+    }
+
+    fn removed(&self, prefix: &str, after: u64) -> Vec<Value> {
+        let removed =
+            self.removed.iter().filter(|(key, rev)| key.starts_with(prefix) && **rev > after);
+        removed.map(|(key, rev)| json!({ "key": key, "rev": rev, "removed": true })).collect()
+    }
+}
+
+#[derive(Debug)]
+struct Api(Arc<State>);
+
+impl Handler for Api {
+    fn answer(
+        self: Arc<Self>,
+        mut request: Request,
+    ) -> Pin<Box<dyn Future<Output = Response> + Send>> {
+        Box::pin(async move {
+            if *self.0.down.lock().unwrap() {
+                return Response::new(503);
+            }
+            let body = request.body_string().await.unwrap_or_default();
+            let body = serde_json::from_str::<Value>(&body).unwrap_or_default();
+            let query = request.url().query_pairs().into_owned().collect::<HashMap<_, _>>();
+            let path = request.url().path().to_owned();
+            match (request.method(), path.as_str()) {
+                (Method::Get, "/api/kv-watch") => self.watch(&query).await,
+                (Method::Post, _) => self.change(&path, &body).await,
+                _ => self.read(&path, &query),
+            }
+        })
+    }
+
+    fn body_max(&self) -> u64 {
+        1 << 20
+    }
+}
+
+impl Api {
+    fn read(&self, path: &str, query: &HashMap<String, String>) -> Response {
+        let mut items = self.0.items.lock().unwrap();
+        items.expire();
+        let as_of = items.revision;
+        match path {
+            "/api/kv-range" => {
+                let after = query.get("after").cloned().unwrap_or_default();
+                let found = items.below(&query["prefix"], 0).into_iter();
+                let found = found.filter(|item| item["key"].as_str() > Some(after.as_str()));
+                let mut found = found.collect::<Vec<_>>();
+                let truncated = found.len() > 500;
+                found.truncate(500);
+                answer(200, &json!({ "items": found, "truncated": truncated, "asOf": as_of }))
+            }
+            _ => Response::new(404),
+        }
+    }
+
+    async fn watch(&self, query: &HashMap<String, String>) -> Response {
+        let number = |name: &str| query[name].parse::<u64>().unwrap();
+        let (after, wait) = (number("after"), Duration::from_millis(number("waitMs")));
+        let due = Instant::now() + wait;
+        loop {
+            {
+                let mut items = self.0.items.lock().unwrap();
+                items.expire();
+                if after < items.forgotten {
+                    return Response::new(410);
+                }
+                let mut events = items.below(&query["prefix"], after);
+                events.extend(items.removed(&query["prefix"], after));
+                events.sort_by_key(|event| event["rev"].as_u64());
+                if !events.is_empty() || Instant::now() >= due || *self.0.down.lock().unwrap() {
+                    return answer(200, &json!({ "events": events, "asOf": items.revision }));
+                }
+            }
+            Timer::after(LOOK).await;
+        }
+    }
+
+    async fn change(&self, path: &str, body: &Value) -> Response {
+        let response = self.apply(path, body);
+        let is_lost = {
+            let mut lost = self.0.lost.lock().unwrap();
+            let is_lost = *lost > 0 && path == "/api/kv-txn";
+            *lost = lost.saturating_sub(u32::from(is_lost));
+            is_lost
+        };
+        if is_lost {
+            smol::future::pending::<()>().await;
+        }
+        response
+    }
+
+    fn apply(&self, path: &str, body: &Value) -> Response {
+        let mut items = self.0.items.lock().unwrap();
+        items.expire();
+        match path {
+            "/api/kv-lease" => {
+                items.next_lease += 1;
+                let lease = items.next_lease;
+                let ttl = Duration::from_millis(body["ttlMs"].as_u64().unwrap());
+                items.leases.insert(lease, (Instant::now() + ttl, ttl));
+                answer(200, &json!({ "lease": lease, "ttlMs": body["ttlMs"] }))
+            }
+            "/api/kv-txn" => {
+                for put in body["puts"].as_array().unwrap() {
+                    let lease = put["lease"].as_u64().unwrap_or(0);
+                    if lease > 0 && !items.leases.contains_key(&lease) {
+                        return Response::new(404);
+                    }
+                    let value = put["value"].as_str().unwrap().to_owned();
+                    items.put(put["key"].as_str().unwrap(), value, lease);
+                }
+                for key in body["remove"].as_array().unwrap() {
+                    items.remove(key.as_str().unwrap());
+                }
+                answer(200, &json!({ "rev": items.revision }))
+            }
+            _ => {
+                let lease = path.rsplit('/').next().and_then(|lease| lease.parse::<u64>().ok());
+                match lease.and_then(|lease| items.leases.get_mut(&lease)) {
+                    Some((until, ttl)) => {
+                        *until = Instant::now() + *ttl;
+                        answer(200, &json!({ "ttlMs": ttl.as_millis() as u64 }))
+                    }
+                    None => Response::new(404),
+                }
+            }
+        }
+    }
+}
+
+fn answer(status: u16, body: &Value) -> Response {
+    let mut response = Response::new(status);
+    response.set_body(body.to_string());
+    response
+}
--- /dev/null
+++ b/tests/platform/mod.rs
@@ -0,0 +1,303 @@
+//! Stand-ins for the users' platform, and real `gypsumkeel platform` processes among them.
+
+pub mod kv;
+pub mod worker;
+
+use std::fs;
+use std::io::{BufRead as _, BufReader};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::{Arc, LazyLock, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use gypsumkeel::clock::Millis;
+use gypsumkeel::http::server::{self, Handler};
+use gypsumkeel::http::{Connection, Question};
+use gypsumkeel::runtime;
+use http_types::Method;
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::{Value, json};
+use smol::net::TcpListener;
+
+use kv::Kv;
+use worker::{Ledger, Worker};
+
+/// How long anything may take that a test waits for.
+pub const LIMIT: Duration = Duration::from_secs(20);
+
+/// The host and the prefix of the queue.
+const HOST: &str = "desk.example";
+const PREFIX: &str = "/holds/";
+
+static THREADS: LazyLock<()> = LazyLock::new(|| runtime::start(2).expect("threads"));
+
+/// Serves a stand-in on a free port.
+fn serve(handler: Arc<dyn Handler>) -> SocketAddr {
+    LazyLock::force(&THREADS);
+    let listener = smol::block_on(TcpListener::bind("127.0.0.1:0")).expect("bind a stand-in");
+    let address = listener.local_addr().expect("an address");
+    let rules = server::Rules { connections_max: 1000, head_timeout: Millis(600_000) };
+    runtime::spawn(server::serve(listener, rules, Arc::default(), handler)).detach();
+    address
+}
+
+/// Waits for a condition.
+#[track_caller]
+pub fn wait_until(what: &str, mut condition: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !condition() {
+        assert!(start.elapsed() < LIMIT, "not within {LIMIT:?}: {what}");
+        thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// A `gypsumkeel platform` process.
+#[derive(Debug)]
+pub struct Vm {
+    pub ip: IpAddr,
+    child: Mutex<Child>,
+    pub log: Arc<Mutex<Vec<String>>>,
+}
+
+/// The store, workers and VMs of two failure domains.
+pub struct Env {
+    pub store: Kv,
+    pub workers: Vec<Worker>,
+    pub ledger: Arc<Ledger>,
+    pub vms: Vec<Vm>,
+    domains: Vec<String>,
+    directory: PathBuf,
+    /// What tells this environment's loopback addresses from others'.
+    net: [u8; 2],
+}
+
+/// What a caller got.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Reply {
+    pub status: u16,
+    pub state: String,
+    pub retry_after: bool,
+}
+
+impl Env {
+    /// Starts `vms` VMs and `workers` workers in each of two domains, and waits until all workers are owned.
+    pub fn start(vms: usize, workers: usize) -> Self {
+        let ledger = Arc::<Ledger>::default();
+        let store = Kv::start();
+        let domains = ["a", "b"];
+        let mut all = Vec::new();
+        for domain in domains {
+            for number in 0..workers {
+                let worker = Worker::start(&format!("w-{domain}-{number}"), domain, &ledger);
+                store.put(&format!("servers/{}", worker.id), &worker.entry("ready"));
+                all.push(worker);
+            }
+        }
+        let directory = std::env::temp_dir().join(format!("gypsumkeel-{:016x}", fastrand::u64(..)));
+        fs::create_dir(&directory).unwrap();
+        let mut env = Self {
+            store,
+            workers: all,
+            ledger,
+            vms: Vec::new(),
+            domains: domains.iter().flat_map(|d| vec![(*d).to_owned(); vms]).collect(),
+            directory,
+            net: [fastrand::u8(1..250), fastrand::u8(..)],
+        };
+        env.configure(1, PREFIX);
+        for index in 0..env.domains.len() {
+            let vm = env.launch(index);
+            env.vms.push(vm);
+        }
+        for index in 0..env.vms.len() {
+            wait_until("a VM is ready", || env.is_ready(index));
+        }
+        wait_until("all workers are owned", || env.workers.iter().all(|w| w.fence() > 0));
+        env
+    }
+
+    /// Puts a configuration in force whose queue is under `prefix`.
+    pub fn configure(&self, version: u64, prefix: &str) {
+        self.store.put(
+            "op/config",
+            &json!({
+                "version": version,
+                "routes": [{ "name": "holds", "host": HOST, "prefix": prefix, "kind": "unsafe",
+                    "timeoutMs": 5000, "sloMs": 500, "priority": 0, "service": "desk", "attempts": 3,
+                    "stretch": 2.0 }],
+                "services": [{ "name": "desk", "healthPath": "/healthz", "maxConns": 64,
+                    "protocol": "h1", "tls": false, "rejectsOverload": false, "spare": false }],
+                "limits": { "maxHeaderBytes": 16384, "maxBodyBytes": 262_144,
+                    "headerTimeoutMs": 3000, "idleTimeoutMs": 15_000 },
+            }),
+        );
+    }
+
+    fn ip(&self, index: usize) -> IpAddr {
+        IpAddr::V4(Ipv4Addr::new(127, self.net[0], self.net[1], index as u8 + 1))
+    }
+
+    /// The settings of a VM, as the platform writes them.
+    pub fn settings(&self, index: usize) -> Value {
+        let ip = self.ip(index);
+        let at = |port| SocketAddr::new(ip, port);
+        json!({
+            "node": format!("edge-{}-{index}", self.domains[index]), "role": "edge", "class": "edge",
+            "serves": ["edge", "control"], "ip": ip, "zone": self.domains[index], "region": "south",
+            "zones": { "a": "south", "b": "south" },
+            "listen": { "front": at(8161), "ready": at(8167), "control": at(8166) },
+            "portRange": [7720, 7735],
+            "seeds": [SocketAddr::new(self.ip(0), 8166)],
+            "bounds": { "holdMaxMs": 1000, "farX": 2, "graceS": 6, "unknown": true },
+            "orders": "call",
+            "platform": { "addr": self.store.address, "form": "kv", "writesPerS": 400 },
+        })
+    }
+
+    /// Starts the process of a VM.
+    pub fn launch(&self, index: usize) -> Vm {
+        let file = self.directory.join(format!("{index}.json"));
+        fs::write(&file, self.settings(index).to_string()).unwrap();
+        let mut child = Command::new(env!("CARGO_BIN_EXE_gypsumkeel"))
+            .arg("platform")
+            .env("GYPSUMKEEL_SETTINGS", &file)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::inherit())
+            .spawn()
+            .unwrap();
+        let log = Arc::<Mutex<Vec<String>>>::default();
+        let (output, lines) = (child.stdout.take().unwrap(), Arc::clone(&log));
+        thread::spawn(move || {
+            for line in BufReader::new(output).lines().map_while(Result::ok) {
+                lines.lock().unwrap().push(line);
+            }
+        });
+        Vm { ip: self.ip(index), child: Mutex::new(child), log }
+    }
+
+    fn ask(&self, index: usize, port: u16, question: &Question<'_>) -> Option<(u16, String, bool)> {
+        smol::block_on(async {
+            let address = SocketAddr::new(self.ip(index), port);
+            let mut connection = Connection::open(address, Millis(2000)).await.ok()?;
+            let answer = connection.ask(question).await.ok()?;
+            let body = String::from_utf8_lossy(&answer.body).into_owned();
+            Some((answer.status, body, answer.header("Retry-After").is_some()))
+        })
+    }
+
+    /// Whether a VM wants callers.
+    pub fn is_ready(&self, index: usize) -> bool {
+        let question = Question::get("/api/readyz", Millis(1000));
+        self.ask(index, 8167, &question).is_some_and(|(status, ..)| status == 200)
+    }
+
+    /// The metrics of a VM.
+    pub fn metrics(&self, index: usize) -> String {
+        let question = Question::get("/metrics", Millis(1000));
+        self.ask(index, 9100, &question).expect("metrics").1
+    }
+
+    /// Reads the state of a queue or a job.
+    pub fn get(&self, index: usize, path: &str) -> Option<(u16, String)> {
+        let headers = [("Host", HOST)];
+        let question = Question { headers: &headers, ..Question::get(path, Millis(2000)) };
+        self.ask(index, 8161, &question).map(|(status, body, _)| (status, body))
+    }
+
+    /// Submits a job of `count` tasks of 7 cores that last `ms`, and waits for its answer.
+    pub fn submit(&self, index: usize, id: u64, count: u32, ms: u64) -> Option<Reply> {
+        let body = json!({ "spec": format!("7000 {ms}"), "bestEffort": true,
+            "steps": [{ "count": count, "cpu": 7000, "memMb": 64, "estMs": ms }] });
+        self.post(index, id, &body, Millis(15_000))
+    }
+
+    /// Submits a body, and leaves after `patience`.
+    pub fn post(&self, index: usize, id: u64, body: &Value, patience: Millis) -> Option<Reply> {
+        let body = body.to_string();
+        let headers =
+            [("Host", HOST), ("Deadline-Ms", "15000"), ("Content-Type", "application/json")];
+        let path = format!("{PREFIX}{id:016x}");
+        let question = Question {
+            method: Method::Post,
+            path: &path,
+            headers: &headers,
+            body: body.as_bytes(),
+            timeout: patience,
+        };
+        let (status, body, retry_after) = self.ask(index, 8161, &question)?;
+        let body = serde_json::from_str::<Value>(&body).unwrap_or_default();
+        let state = body["state"].as_str().unwrap_or_default().to_owned();
+        Some(Reply { status, state, retry_after })
+    }
+
+    /// Submits jobs from several callers at once, one after the other each, until `until` says so.
+    pub fn load(
+        &self,
+        vms: &[usize],
+        callers: u64,
+        until: impl Fn() -> bool + Sync,
+    ) -> Vec<Option<Reply>> {
+        thread::scope(|scope| {
+            let until = &until;
+            let callers = (0..callers).map(|caller| {
+                scope.spawn(move || {
+                    let mut replies = Vec::new();
+                    while !until() {
+                        let vm = vms[(caller as usize + replies.len()) % vms.len()];
+                        let id = caller << 32 | replies.len() as u64;
+                        replies.push(self.submit(vm, id, 2, 60));
+                    }
+                    replies
+                })
+            });
+            let callers = callers.collect::<Vec<_>>();
+            callers.into_iter().flat_map(|caller| caller.join().unwrap()).collect()
+        })
+    }
+
+    /// Checks what must hold whatever happens.
+    #[track_caller]
+    pub fn check(&self) {
+        let broken = self.ledger.broken.lock().unwrap();
+        assert!(broken.is_empty(), "{broken:?}");
+    }
+}
+
+impl Drop for Env {
+    fn drop(&mut self) {
+        for vm in &self.vms {
+            vm.kill();
+            if thread::panicking() {
+                eprintln!("{}:\n{}", vm.ip, vm.log.lock().unwrap().join("\n"));
+            }
+        }
+        drop(fs::remove_dir_all(&self.directory));
+    }
+}
+
+impl Vm {
+    pub fn kill(&self) {
+        let mut child = self.child.lock().unwrap();
+        drop(child.kill());
+        drop(child.wait());
+    }
+
+    pub fn signal(&self, signal: Signal) {
+        let pid = Pid::from_child(&self.child.lock().unwrap());
+        kill_process(pid, signal).unwrap();
+    }
+
+    /// How the process ended, if it has.
+    pub fn ended(&self) -> Option<ExitStatus> {
+        self.child.lock().unwrap().try_wait().unwrap()
+    }
+
+    /// Whether a line of the log has all the words.
+    pub fn said(&self, words: &[&str]) -> bool {
+        let log = self.log.lock().unwrap();
+        log.iter().any(|line| words.iter().all(|word| line.contains(word)))
+    }
+}
