--- a/src/check.rs
+++ b/src/check.rs
@@ -1,10 +1,13 @@
 //! `gypsumkeel check`: every error of a settings or configuration file.
 
+use std::fmt::Display;
+
 use serde_norway::Value;
 
 use crate::cli::Input;
 use crate::config;
 use crate::exit::{self, Exit};
+use crate::platform;
 use crate::settings::{Fault, Settings, read};
 
 /// The sections that only a configuration has. `targets` is a list there and a mapping in settings.
@@ -16,11 +19,19 @@
         Ok(text) => text,
         Err(error) => return Exit::Usage.because(error),
     };
+    if platform::Settings::is_meant_by(&text) {
+        let faults = platform::Settings::parse(&text).err().unwrap_or_default();
+        return report(file, "settings of the platform", &faults);
+    }
     let (kind, faults) = check(&text);
+    report(file, kind, &faults)
+}
+
+fn report(file: &Input, kind: &str, faults: &[impl Display]) -> Exit {
     if faults.is_empty() {
         return exit::print(&format!("{file}: valid {kind}\n"));
     }
-    for fault in &faults {
+    for fault in faults {
         exit::complain(format_args!("{file}: {fault}"));
     }
     Exit::Usage
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -26,7 +26,7 @@
 #[derive(Debug)]
 pub enum Error {
     /// The settings file can't be used.
-    Settings(Fault),
+    Settings(Vec<Fault>),
     /// The VM could not start.
     Start(vm::Error),
 }
@@ -34,7 +34,7 @@
 impl fmt::Display for Error {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Settings(fault) => write!(f, "{fault}"),
+            Self::Settings(faults) => write!(f, "{}", joined(faults)),
             Self::Start(error) => write!(f, "{error}"),
         }
     }
@@ -42,6 +42,10 @@
 
 impl std::error::Error for Error {}
 
+fn joined(faults: &[Fault]) -> String {
+    faults.iter().map(ToString::to_string).collect::<Vec<_>>().join("; ")
+}
+
 /// Runs an entry VM on the platform until it is stopped, with the settings file that the platform names.
 pub fn run() -> Result<(), Error> {
     let settings = Settings::load().map_err(Error::Settings)?;
@@ -85,7 +89,7 @@
     }
 
     fn settings(&self) -> Result<vm::Settings, String> {
-        Settings::load().map(|settings| settings.vm()).map_err(|fault| fault.to_string())
+        Settings::load().map(|settings| settings.vm()).map_err(|faults| joined(&faults))
     }
 
     fn runner(&self, site: &Site) -> Arc<dyn Runner> {
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -45,6 +45,9 @@
 /// How long callers may still be sent to a VM that says that it is not ready: two checks, a second apart.
 const READY_LAG: Millis = Millis(2300);
 
+/// The shortest longest lease with which this system can renew: a hold waits up to 500 ms.
+const HOLD_MAX_MIN: Millis = Millis(800);
+
 /// What a planned stop leaves of the platform's grace for the end of the process itself.
 const STOP_MARGIN: Millis = Millis(500);
 
@@ -148,42 +151,52 @@
 
 impl Settings {
     /// Reads the file that the platform names.
-    pub fn load() -> Result<Self, Fault> {
-        let path = env::var_os(VARIABLE).map(PathBuf::from).ok_or(Fault::Unset)?;
-        let text = fs::read_to_string(&path).map_err(|error| Fault::Unread(path, error))?;
+    pub fn load() -> Result<Self, Vec<Fault>> {
+        let path = env::var_os(VARIABLE).map(PathBuf::from).ok_or_else(|| vec![Fault::Unset])?;
+        let text = fs::read_to_string(&path).map_err(|error| vec![Fault::Unread(path, error)])?;
         Self::parse(&text)
     }
 
+    /// Whether a text looks like such a file, right or wrong.
+    pub fn is_meant_by(text: &str) -> bool {
+        let file = serde_json::from_str::<serde_json::Value>(text).unwrap_or_default();
+        file.get("node").is_some() && file.get("portRange").is_some()
+    }
+
     /// Reads the text of a file.
-    pub fn parse(text: &str) -> Result<Self, Fault> {
+    pub fn parse(text: &str) -> Result<Self, Vec<Fault>> {
         let mut json = serde_json::Deserializer::from_str(text);
         let settings = serde_path_to_error::deserialize::<_, Self>(&mut json).map_err(|error| {
-            Fault::Invalid { path: error.path().to_string(), reason: error.inner().to_string() }
+            let (path, reason) = (error.path().to_string(), error.inner().to_string());
+            vec![Fault::Invalid { path, reason }]
         })?;
-        settings.check()?;
-        Ok(settings)
+        let faults = settings.faults();
+        if faults.is_empty() { Ok(settings) } else { Err(faults) }
     }
 
-    fn check(&self) -> Result<(), Fault> {
-        let invalid = |path: &str, reason: &str| {
-            Err(Fault::Invalid { path: path.to_owned(), reason: reason.to_owned() })
+    fn faults(&self) -> Vec<Fault> {
+        let range = self.port_range;
+        let rules = [
+            (self.node.is_empty(), "node", "is empty, but VMs are told apart by it"),
+            (self.orders != "call", "orders", "is not \"call\", the only way that is built"),
+            (
+                self.bounds.hold_max_ms < HOLD_MAX_MIN,
+                "bounds.holdMaxMs",
+                "is under 800, too short to renew leases",
+            ),
+            (
+                self.bounds.far_x.is_nan() || self.bounds.far_x < 1.0,
+                "bounds.farX",
+                "is under 1, but nothing is faster away from its data",
+            ),
+            (range.0 == 0 || range.0 > range.1, "portRange", "is not a first and a last port"),
+        ];
+        let broken = rules.into_iter().filter(|(is_broken, ..)| *is_broken);
+        let fault = |path: &str, reason: &str| Fault::Invalid {
+            path: path.to_owned(),
+            reason: reason.to_owned(),
         };
-        if self.node.is_empty() {
-            return invalid("node", "is empty, but VMs are told apart by it");
-        }
-        if self.orders != "call" {
-            return invalid("orders", "is not \"call\", the only way that is built");
-        }
-        if self.bounds.hold_max_ms < Millis(200) {
-            return invalid("bounds.holdMaxMs", "is under 200, too short to renew leases");
-        }
-        if self.bounds.far_x.is_nan() || self.bounds.far_x < 1.0 {
-            return invalid("bounds.farX", "is under 1");
-        }
-        if self.port_range.0 == 0 || self.port_range.0 > self.port_range.1 {
-            return invalid("portRange", "is not a first and a last port");
-        }
-        Ok(())
+        broken.map(|(_, path, reason)| fault(path, reason)).collect()
     }
 
     /// Where metrics are served.
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -67,12 +67,13 @@
     Usage: gypsumkeel COMMAND [OPTIONS]
 
     Commands:
-      serve   Run an entry VM
-      dev     Run everything in one process, to try it out
-      submit  Submit one job and wait for its answer
-      check   Check a settings or configuration file
-      config  Read or change the configuration
-      status  Ask an entry VM how it is
+      serve     Run an entry VM
+      platform  Run an entry VM on the users' platform
+      dev       Run everything in one process, to try it out
+      submit    Submit one job and wait for its answer
+      check     Check a settings or configuration file
+      config    Read or change the configuration
+      status    Ask an entry VM how it is
 
     Options:
       -h, --help     Print help; after a command, help on it
@@ -89,7 +90,7 @@
 
 #[test]
 fn every_command_has_help() {
-    for command in ["serve", "dev", "submit", "check", "config", "status"] {
+    for command in ["serve", "platform", "dev", "submit", "check", "config", "status"] {
         let text = run(&format!("{command} --help"));
         assert!(text.contains(&format!("Usage: gypsumkeel {command}")), "{text}");
         assert_eq!(run(&format!("{command} -h")), text);
@@ -104,10 +105,10 @@
     assert_snapshot!(report, @r#"
     $
     2
-    [gypsumkeel error]: no command; use one of serve, dev, submit, check, config, status, or --help
+    [gypsumkeel error]: no command; use one of serve, platform, dev, submit, check, config, status, or --help
     $ sevre
     2
-    [gypsumkeel error]: no such command "sevre"; use one of serve, dev, submit, check, config, status, or --help
+    [gypsumkeel error]: no such command "sevre"; use one of serve, platform, dev, submit, check, config, status, or --help
     $ --sevre
     2
     [gypsumkeel error]: invalid option '--sevre'; see gypsumkeel --help
@@ -183,6 +184,28 @@
     "#);
 }
 
+#[test]
+fn check_takes_the_settings_of_the_platform_too() {
+    let good = r#"{ "node": "edge-1", "ip": "10.0.0.1", "zone": "a", "portRange": [7720, 7735], "new": 1,
+        "listen": { "front": "10.0.0.1:1", "ready": "10.0.0.1:2", "control": "10.0.0.1:3" },
+        "bounds": { "holdMaxMs": 1000, "farX": 2, "graceS": 6 }, "platform": { "addr": "10.0.0.2:4" } }"#;
+    assert_snapshot!(run_with("check -", good), @r"
+    0
+    standard input: valid settings of the platform
+    ");
+    let bad = good.replace("edge-1", "").replace("1000", "100").replace("[7720", "[7799");
+    assert_snapshot!(run_with("check -", &bad), @r"
+    2
+    [gypsumkeel error]: standard input: node: is empty, but VMs are told apart by it; correct the settings file
+    [gypsumkeel error]: standard input: bounds.holdMaxMs: is under 800, too short to renew leases; correct the settings file
+    [gypsumkeel error]: standard input: portRange: is not a first and a last port; correct the settings file
+    ");
+    assert_snapshot!(run_with("check -", &good.replace("\"10.0.0.1:2\"", "7")), @r"
+    2
+    [gypsumkeel error]: standard input: listen.ready: invalid type: integer `7`, expected socket address at line 2 column 53; correct the settings file
+    ");
+}
+
 #[test]
 fn check_tells_settings_from_a_configuration() {
     let settings = "{ vm: a, domain: a, region: r, listen: { callers: 127.0.0.1:0, peers: 127.0.0.1:0 }, store: { url: http://127.0.0.1:1 } }";
