Take nothing from an owner that a cut hides

Targets of other domains are taken only while the store has answered for 2.5 s and shows nobody there; a VM that reaches nobody takes nothing; a target that could not be reached is asked without a token first and taken 1.8 s after it answers, unless its owner shows by then; a request without an answer is reset, so that it does not arrive after a cut.

--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::io;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use http_types::headers::HeaderValues;
 use http_types::{Method, Request, Response, Url};
@@ -137,6 +138,13 @@
         exchange.or(late).await
     }
 
+    /// Resets the connection, so that what was written and has not arrived never does.
+    pub fn abort(self) {
+        if let Err(error) = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO)) {
+            log::debug!("event=no-reset reason={error:?}");
+        }
+    }
+
     /// Closes the connection.
     pub fn close(self) {
         drop(self.stream.shutdown(std::net::Shutdown::Both));
--- a/src/http/pool.rs
+++ b/src/http/pool.rs
@@ -57,8 +57,8 @@
         self.opened.load(Ordering::Relaxed)
     }
 
-    /// Sends one request and reads the whole answer. A connection that fails is closed, and the idle ones
-    /// with it, since what broke one has most likely broken all.
+    /// Sends one request and reads the whole answer. A connection that fails is reset, so that the
+    /// request does not arrive after all, and the idle ones are closed, since what broke one has most likely broken all.
     pub async fn ask(&self, question: &Question<'_>) -> Result<Answer, Error> {
         let mut connection = self.connection().await?;
         match connection.ask(question).await {
@@ -67,7 +67,7 @@
                 Ok(answer)
             }
             Err(error) => {
-                connection.close();
+                connection.abort();
                 self.forget_idle();
                 Err(error)
             }
--- a/src/ownership/mod.rs
+++ b/src/ownership/mod.rs
@@ -20,6 +20,13 @@
 /// How long a failure domain must have no VM until those of others take its targets.
 const DOMAIN_EMPTY_MIN: Millis = Millis(1500);
 
+/// How long the store must have answered until what it says of other domains counts: registrations that lapsed
+/// while it was away, or while this VM was cut off from it, are back within two seconds.
+const STORE_STEADY_MIN: Millis = Millis(2500);
+
+/// How long the store must have been away until registrations that it showed no longer count.
+const STORE_OUT_MAX: Millis = Millis(1500);
+
 /// The pause before a target that another VM took may be taken back.
 const RETAKE_AFTER: Millis = Millis(1500);
 
@@ -52,10 +59,10 @@
 }
 
 impl Peer {
-    /// Whether it may still act as an owner: its link is up, or the store still lists it.
-    pub const fn is_alive(&self) -> bool {
+    /// Whether it may still act as an owner: its link is up, or the store lists it.
+    const fn is_alive(&self, store_counts: bool) -> bool {
         let Presence { registered, linked, refused } = self.presence;
-        linked || (registered && !refused)
+        linked || (registered && store_counts && !refused)
     }
 }
 
@@ -66,6 +73,13 @@
     draining: bool,
 }
 
+/// Whether the store answers, and since when that is so.
+#[derive(Clone, Copy, Debug)]
+struct Contact {
+    is_up: bool,
+    since: Millis,
+}
+
 /// A target, as far as its owner matters.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Place {
@@ -88,6 +102,9 @@
     lost_at: BTreeMap<Arc<str>, Millis>,
     /// Since when a domain has had no VM that is alive.
     empty_since: BTreeMap<Arc<str>, Millis>,
+    store: Contact,
+    /// Whether any link was ever up.
+    was_linked: bool,
     draining: bool,
 }
 
@@ -103,6 +120,8 @@
             own: BTreeSet::new(),
             lost_at: BTreeMap::new(),
             empty_since: BTreeMap::new(),
+            store: Contact { is_up: true, since: Millis::ZERO },
+            was_linked: false,
             draining: false,
         }
     }
@@ -117,6 +136,7 @@
         for id in old.keys().filter(|id| !self.peers.contains_key(id)) {
             self.said.remove(id);
         }
+        self.was_linked |= self.peers.values().any(|peer| peer.presence.linked);
         self.apply_said();
     }
 
@@ -129,6 +149,26 @@
         }
     }
 
+    /// Notes whether the store has answered.
+    pub fn note_store(&mut self, now: Millis, is_up: bool) {
+        if self.store.is_up != is_up {
+            self.store = Contact { is_up, since: now };
+        }
+    }
+
+    /// Whether registrations count that the store shows, or has shown before it went away.
+    fn store_counts(&self, now: Millis) -> bool {
+        self.store.is_up || now - self.store.since < STORE_OUT_MAX
+    }
+
+    /// Whether this VM has lost all its links while there should be others: it is cut off rather than alone.
+    fn is_cut_off(&self) -> bool {
+        let mut presences = self.peers.values().map(|peer| peer.presence);
+        let has_others = presences.clone().any(|presence| presence.registered);
+        let is_linked = presences.any(|presence| presence.linked);
+        self.was_linked && !is_linked && (has_others || !self.store.is_up)
+    }
+
     /// Replaces the targets.
     pub fn set_targets(&mut self, targets: BTreeMap<Arc<str>, Place>) {
         self.targets = targets;
@@ -164,20 +204,30 @@
     }
 
     /// The VM that owns a target, if it is another and alive.
-    pub fn owner(&self, target: &str) -> Option<Incarnation> {
+    pub fn owner(&self, now: Millis, target: &str) -> Option<Incarnation> {
         let owns = |peer: &Peer| peer.owns.as_ref().is_some_and(|owns| owns.contains(target));
-        let mut owners = self.peers.iter().filter(|(_, peer)| peer.is_alive() && owns(peer));
-        owners.next().map(|(&id, _)| id)
+        self.alive(now).find(|(_, peer)| owns(peer)).map(|(id, _)| id)
     }
 
     /// The VMs that are alive.
-    pub fn alive(&self) -> impl Iterator<Item = (Incarnation, &Peer)> {
-        self.peers.iter().filter(|(_, peer)| peer.is_alive()).map(|(&id, peer)| (id, peer))
+    pub fn alive(&self, now: Millis) -> impl Iterator<Item = (Incarnation, &Peer)> {
+        let store_counts = self.store_counts(now);
+        let alive = self.peers.iter().filter(move |(_, peer)| peer.is_alive(store_counts));
+        alive.map(|(&id, peer)| (id, peer))
+    }
+
+    /// Whether a target that is being taken should be left alone after all: another VM that is alive owns it,
+    /// or its domain has VMs of its own again.
+    pub fn is_others(&mut self, now: Millis, target: &str) -> bool {
+        self.note_empty(now);
+        let Some(place) = self.targets.get(target) else { return false };
+        let may_not = place.domain != self.domain && !self.may_take_from(now, &place.domain);
+        may_not || self.owner(now, target).is_some()
     }
 
     /// The targets that this VM is to take now.
     pub fn to_take(&mut self, now: Millis) -> Vec<Arc<str>> {
-        if self.draining {
+        if self.draining || self.is_cut_off() {
             return Vec::new();
         }
         self.note_empty(now);
@@ -187,7 +237,7 @@
     }
 
     fn note_empty(&mut self, now: Millis) {
-        let alive = self.alive().map(|(_, peer)| Arc::clone(&peer.domain));
+        let alive = self.alive(now).map(|(_, peer)| Arc::clone(&peer.domain));
         let mut alive = alive.collect::<BTreeSet<_>>();
         alive.insert(Arc::clone(&self.domain));
         self.empty_since.retain(|domain, _| !alive.contains(domain));
@@ -200,8 +250,7 @@
 
     fn to_take_in(&self, now: Millis, domain: &Arc<str>) -> Vec<Arc<str>> {
         let is_foreign = *domain != self.domain;
-        let empty_for = self.empty_since.get(domain).map(|&since| now - since);
-        if is_foreign && empty_for.is_none_or(|empty| empty < DOMAIN_EMPTY_MIN) {
+        if is_foreign && !self.may_take_from(now, domain) {
             return Vec::new();
         }
         if !is_foreign && self.is_greeting(now) {
@@ -209,29 +258,36 @@
         }
         let in_domain = |place: &Place| place.domain == *domain;
         let count = self.targets.values().filter(|place| in_domain(place)).count();
-        let owners = self.owners(domain, is_foreign, count.div_ceil(TARGETS_PER_OWNER));
+        let owners = self.owners(now, domain, is_foreign, count.div_ceil(TARGETS_PER_OWNER));
         let mut taken = Vec::new();
         for (id, place) in &self.targets {
             let may_take = place.wanted && in_domain(place) && !self.own.contains(id);
             let lost = self.lost_at.get(id).is_some_and(|&at| now - at < RETAKE_AFTER);
-            if may_take && !lost && self.owner(id).is_none() && self.is_chosen(id, &owners) {
+            if may_take && !lost && self.owner(now, id).is_none() && self.is_chosen(id, &owners) {
                 taken.push(Arc::clone(id));
             }
         }
         taken
     }
 
+    /// Whether the targets of another domain may be taken: it has had no VM for a while, and the store, which
+    /// has answered all the while, says so too.
+    fn may_take_from(&self, now: Millis, domain: &str) -> bool {
+        let empty = self.empty_since.get(domain).is_some_and(|&at| now - at >= DOMAIN_EMPTY_MIN);
+        empty && self.store.is_up && now - self.store.since >= STORE_STEADY_MIN
+    }
+
     /// Whether a VM of the own domain has not said yet what it owns.
     fn is_greeting(&self, now: Millis) -> bool {
-        self.alive().any(|(_, peer)| {
+        self.alive(now).any(|(_, peer)| {
             let is_silent = peer.owns.is_none() && now - peer.known_since < HELLO_MAX;
             peer.domain == self.domain && !peer.draining && is_silent
         })
     }
 
     /// The VMs that should own the targets of a domain: `count` of its own, or of all where it has none.
-    fn owners(&self, domain: &str, is_foreign: bool, count: usize) -> Vec<Arc<str>> {
-        let usable = self.alive().filter(|(_, peer)| !peer.draining);
+    fn owners(&self, now: Millis, domain: &str, is_foreign: bool, count: usize) -> Vec<Arc<str>> {
+        let usable = self.alive(now).filter(|(_, peer)| !peer.draining);
         let usable = usable.filter(|(_, peer)| is_foreign || *peer.domain == *domain);
         let mut vms = usable.map(|(_, peer)| Arc::clone(&peer.vm)).collect::<Vec<_>>();
         vms.push(Arc::clone(&self.vm));
--- a/src/peer/links.rs
+++ b/src/peer/links.rs
@@ -28,7 +28,7 @@
 const REDIAL_MIN: Millis = Millis(50);
 
 /// The longest pause between tries to dial.
-const REDIAL_MAX: Millis = Millis(2000);
+const REDIAL_MAX: Millis = Millis(1000);
 
 /// Tries in a row after which an address is given up where no VM is expected.
 const DIALS_MAX: u32 = 200;
--- a/src/schedule/engine.rs
+++ b/src/schedule/engine.rs
@@ -76,6 +76,7 @@
             }
             Event::Targets(listings) => self.list(now, listings, actions),
             Event::Take { target, round } => self.take(now, &target, round, actions),
+            Event::Leave { target } => self.stop_taking(&target, actions),
             Event::Answer { order, reply } => self.answer(now, order, reply, actions),
             Event::Rules(rules) => self.rules = rules,
             Event::Drain => self.drain(now, actions),
@@ -112,6 +113,12 @@
         owned.map(|target| &target.listing.id)
     }
 
+    /// The ids of the targets that are being taken over.
+    pub fn taking(&self) -> Vec<Arc<str>> {
+        let taking = self.targets.iter().filter(|target| target.phase == Phase::Taking);
+        taking.map(|target| Arc::clone(&target.listing.id)).collect()
+    }
+
     /// The highest round of any token that was sent.
     pub fn round(&self) -> u64 {
         let owned = self.targets.iter().filter(|target| target.phase != Phase::Free);
@@ -305,9 +312,17 @@
         target.phase = Phase::Taking;
         target.fence = target.fence.at(round.max(target.fence.round) + 1);
         target.hold_due = now;
+        target.unreached = false;
         self.tend(now, number, actions);
     }
 
+    fn stop_taking(&mut self, id: &str, actions: &mut Vec<Action>) {
+        let Some(&number) = self.by_id.get(id) else { return };
+        if self.targets[number].phase == Phase::Taking {
+            self.leave(number, false, actions);
+        }
+    }
+
     fn drain(&mut self, now: Millis, actions: &mut Vec<Action>) {
         self.draining = true;
         let waiting = self.jobs.iter().filter(|(_, job)| !job.started);
--- a/src/schedule/event.rs
+++ b/src/schedule/event.rs
@@ -77,6 +77,11 @@
         /// The lowest round to try.
         round: u64,
     },
+    /// A target that is being taken over is another VM's after all.
+    Leave {
+        /// The target.
+        target: Arc<str>,
+    },
     /// A call to a target has ended.
     Answer {
         /// The call.
--- a/src/schedule/hold.rs
+++ b/src/schedule/hold.rs
@@ -26,6 +26,10 @@
 /// The pause between two such looks.
 const LOOK_EVERY: Millis = Millis(150);
 
+/// The wait before a target is taken that could not be reached before. What hid it may have hidden its owner
+/// too, whose links and registration are back within this time.
+const CONTACT_WAIT: Millis = Millis(1800);
+
 /// The most tasks of other owners that are stopped at once.
 const STOPS_MAX: usize = 64;
 
@@ -38,7 +42,9 @@
             return;
         }
         if is_unclear && target.quick_hold.is_none() && now >= target.hold_due {
-            let order = self.hold(number, None, Millis::ZERO, actions);
+            let is_probe = target.phase == Phase::Taking && target.unreached;
+            let fence = if is_probe { Fence::default() } else { target.fence };
+            let order = self.hold_under(fence, number, None, Millis::ZERO, actions);
             self.targets[number].quick_hold = Some(order);
         } else if !is_unclear && target.waiting_hold.is_none() {
             let wait = if target.runs.is_empty() { WAIT_IDLE } else { WAIT_BUSY };
@@ -75,8 +81,19 @@
         wait: Millis,
         actions: &mut Vec<Action>,
     ) -> OrderId {
-        let turn = self.turn;
         let fence = self.targets[number].fence;
+        self.hold_under(fence, number, until, wait, actions)
+    }
+
+    fn hold_under(
+        &mut self,
+        fence: Fence,
+        number: usize,
+        until: Option<Millis>,
+        wait: Millis,
+        actions: &mut Vec<Action>,
+    ) -> OrderId {
+        let turn = self.turn;
         let order = self.number_order(Order::Hold { target: number, fence, turn });
         let target = &self.targets[number];
         actions.push(Action::Hold {
@@ -106,6 +123,12 @@
         if target.quick_hold == Some(order) {
             target.quick_hold = None;
         }
+        let is_contact = matches!(reply, Reply::Hold(_) | Reply::Denied { .. });
+        if target.phase == Phase::Taking && target.unreached && is_contact {
+            target.unreached = false;
+            target.hold_due = now + CONTACT_WAIT;
+            return;
+        }
         match reply {
             Reply::Hold(answer) => self.held(now, number, (fence, turn), &answer, actions),
             Reply::Denied { denial: Denial::Fence, .. } if fence == target.fence => {
@@ -122,6 +145,7 @@
             }
             _ => {
                 target.unsure = true;
+                target.unreached = target.phase == Phase::Taking;
                 target.hold_due = now + PAUSE;
                 target.health.unwell(now);
             }
--- a/src/schedule/target.rs
+++ b/src/schedule/target.rs
@@ -53,6 +53,8 @@
     pub quick_hold: Option<OrderId>,
     /// Whether an answer was lost since the last hold under the present token was answered.
     pub unsure: bool,
+    /// Whether it could not be reached when it was to be taken: it is asked without a token until it answers.
+    pub unreached: bool,
     /// When the next quick hold may be sent.
     pub hold_due: Millis,
     /// When a hold was answered last.
@@ -123,6 +125,7 @@
             waiting_hold: None,
             quick_hold: None,
             unsure: false,
+            unreached: false,
             hold_due: Millis::ZERO,
             heard: Millis::ZERO,
             lapse_by: Millis::ZERO,
--- a/src/vm/follow.rs
+++ b/src/vm/follow.rs
@@ -39,6 +39,7 @@
                 }
                 read.index
             });
+            self.note_store(given.is_ok());
             pace.settle(given).await;
         }
     }
@@ -60,6 +61,7 @@
                 }
                 read.index
             });
+            self.note_store(given.is_ok());
             pace.settle(given).await;
             let pause = if self.lock().ownership.own().is_empty() {
                 TARGETS_PAUSE
@@ -70,6 +72,10 @@
         }
     }
 
+    fn note_store(self: &Arc<Self>, is_up: bool) {
+        self.with_core(|core, now, _| core.ownership.note_store(now, is_up));
+    }
+
     /// Follows the other VMs' registrations for ever.
     pub(super) async fn follow_members(self: Arc<Self>) {
         let prefix = &self.settings.prefix;
--- a/src/vm/node.rs
+++ b/src/vm/node.rs
@@ -311,6 +311,11 @@
         let may_take = self.membership.is_registered() || self.now() > REGISTER_MAX;
         self.with_core(|core, now, work| {
             core.ownership.set_peers(now, peers);
+            for target in core.engine.taking() {
+                if core.ownership.is_others(now, &target) {
+                    core.handle(now, Event::Leave { target }, work);
+                }
+            }
             if !may_take {
                 return;
             }
--- a/src/vm/submit.rs
+++ b/src/vm/submit.rs
@@ -149,7 +149,7 @@
             });
             candidates.push((Owner::Own, own, is_near));
         }
-        for (vm, peer) in core.ownership.alive() {
+        for (vm, peer) in core.ownership.alive(self.clock.now()) {
             let Some(owns) = peer.owns.as_ref().filter(|_| peer.presence.linked && !peer.draining)
             else {
                 continue;
--- a/tests/ownership.rs
+++ b/tests/ownership.rs
@@ -93,9 +93,10 @@
     ] {
         let mut view = Ownership::new("v0", "a");
         view.set_targets(targets("a", 16));
-        view.set_peers(Millis(0), [(id(1), peer("v1", "a", ALIVE))]);
+        let beside = (id(2), peer("v2", "b", ALIVE));
+        view.set_peers(Millis(0), [(id(1), peer("v1", "a", ALIVE)), beside.clone()]);
         view.tell(id(1), owned("a", 16), false);
-        view.set_peers(Millis(1000), [(id(1), peer("v1", "a", presence))]);
+        view.set_peers(Millis(1000), [(id(1), peer("v1", "a", presence)), beside]);
         assert_eq!(view.to_take(Millis(1000)).len(), 16, "{presence:?}");
     }
 }
@@ -107,7 +108,7 @@
     view.tell(id(1), owned("a", 16), false);
     view.set_peers(Millis(0), [(id(1), peer("v1", "a", ALIVE))]);
     assert!(view.to_take(Millis(60_000)).is_empty());
-    assert_eq!(view.owner("a3"), Some(id(1)));
+    assert_eq!(view.owner(Millis(60_000), "a3"), Some(id(1)));
 }
 
 #[test]
@@ -127,8 +128,10 @@
     assert!(view.to_take(Millis(1000)).is_empty());
     assert!(view.to_take(Millis(2000)).is_empty());
     assert_eq!(view.to_take(Millis(2600)).len(), 16);
+    assert!(!view.is_others(Millis(2600), "b3"));
     view.set_peers(Millis(3000), [(id(1), peer("v1", "b", ALIVE))]);
     assert!(view.to_take(Millis(9000)).is_empty(), "its own VM takes them");
+    assert!(view.is_others(Millis(9000), "b3"));
 }
 
 #[test]
@@ -161,3 +164,63 @@
     view.set_targets(places);
     assert_eq!(view.to_take(Millis(1000)), [Arc::<str>::from("a1")]);
 }
+
+/// A VM of domain a that knows a VM of domain b, which owns b's targets, and one beside it.
+fn view_of_two_domains() -> Ownership {
+    let mut view = Ownership::new("v0", "a");
+    view.set_targets(targets("b", 16));
+    let peers = [(id(1), peer("v1", "b", ALIVE)), (id(2), peer("v2", "a", ALIVE))];
+    view.set_peers(Millis(0), peers);
+    view.tell(id(1), owned("b", 16), false);
+    view
+}
+
+#[test]
+fn a_domain_that_is_cut_off_takes_nothing_from_the_others() {
+    let mut view = view_of_two_domains();
+    let gone = Presence { registered: false, linked: false, refused: false };
+    // Cut off from the other domain and from the store; the VM beside it is still linked.
+    let peers = [(id(1), peer("v1", "b", gone)), (id(2), peer("v2", "a", ALIVE))];
+    view.set_peers(Millis(1000), peers);
+    view.note_store(Millis(1000), false);
+    for now in (1000..8000).step_by(250) {
+        assert!(view.to_take(Millis(now)).is_empty(), "at {now}");
+    }
+    // The cut has healed: the store answers, and shows a registration that has lapsed and is not back yet.
+    view.note_store(Millis(8000), true);
+    assert!(view.to_take(Millis(8000)).is_empty());
+    assert!(view.is_others(Millis(8000), "b3"));
+    assert!(view.to_take(Millis(10_000)).is_empty());
+    let back = [(id(1), peer("v1", "b", ALIVE)), (id(2), peer("v2", "a", ALIVE))];
+    view.set_peers(Millis(10_100), back);
+    assert!(view.to_take(Millis(60_000)).is_empty());
+}
+
+#[test]
+fn a_vm_that_reaches_nobody_takes_nothing() {
+    let mut view = Ownership::new("v0", "a");
+    view.set_targets(targets("a", 16));
+    view.set_peers(Millis(0), [(id(1), peer("v1", "a", ALIVE))]);
+    let silent = Presence { registered: true, linked: false, refused: true };
+    view.set_peers(Millis(100), [(id(1), peer("v1", "a", silent))]);
+    assert!(view.to_take(Millis(5000)).is_empty(), "the store lists another");
+    let gone = Presence { registered: false, linked: false, refused: false };
+    view.set_peers(Millis(6000), [(id(1), peer("v1", "a", gone))]);
+    view.note_store(Millis(6000), false);
+    assert!(view.to_take(Millis(60_000)).is_empty(), "the store is out");
+    view.note_store(Millis(60_000), true);
+    assert_eq!(view.to_take(Millis(60_000)).len(), 16);
+}
+
+#[test]
+fn while_the_store_is_out_a_silent_link_is_enough() {
+    let mut view = Ownership::new("v0", "a");
+    view.set_targets(targets("a", 16));
+    let silent = Presence { registered: true, linked: false, refused: false };
+    let others = [(id(1), peer("v1", "a", silent)), (id(2), peer("v2", "b", ALIVE))];
+    view.set_peers(Millis(0), others);
+    view.tell(id(1), owned("a", 16), false);
+    view.note_store(Millis(1000), false);
+    assert!(view.to_take(Millis(2000)).is_empty());
+    assert_eq!(view.to_take(Millis(2600)).len(), 16);
+}
--- a/tests/schedule.rs
+++ b/tests/schedule.rs
@@ -179,6 +179,21 @@
     assert_eq!(model.got[&(0, 1)].outcome, Outcome::Interrupted);
 }
 
+#[test]
+fn a_target_out_of_reach_is_not_taken_from_its_owner_at_first_sight() {
+    let mut model = Model::new(2, vec![listing("t0", 16, "r0")], SEED);
+    model.cut(1, 0, true);
+    model.event(100, 1, Event::Take { target: Arc::from("t0"), round: 3 });
+    model.submit(200, 0, 1, spec("j1", 2, 7, 3000), 3000, 20_000);
+    model.run(2000);
+    model.cut(1, 0, false);
+    // The other VM sees soon after the cut that the owner lives.
+    model.event(3000, 1, Event::Leave { target: Arc::from("t0") });
+    model.run(6000);
+    assert_eq!(model.outcome(1), Some(&Outcome::Done));
+    assert!(model.left.iter().all(|(engine, ..)| *engine == 1), "{:?}", model.left);
+}
+
 #[test]
 fn a_target_born_again_is_used_again_and_its_tasks_run_anew() {
     let mut model = world(2);
--- a/tests/schedule/model.rs
+++ b/tests/schedule/model.rs
@@ -96,6 +96,8 @@
     pub left: Vec<(usize, Arc<str>, bool)>,
     /// Engines that stand still: nothing reaches them until they go on.
     pub frozen: Vec<bool>,
+    /// Engines that can't reach a target.
+    cuts: Vec<(usize, usize)>,
     specs: HashMap<Arc<str>, Arc<Spec>>,
     /// How long the tasks of a job really last at slowness 1.
     lasts: HashMap<Arc<str>, u64>,
@@ -157,6 +159,7 @@
             owned: Vec::new(),
             left: Vec::new(),
             frozen: vec![false; engines],
+            cuts: Vec::new(),
             specs: HashMap::new(),
             lasts: HashMap::new(),
             agenda: BinaryHeap::new(),
@@ -224,6 +227,14 @@
         self.event(at, engine, event);
     }
 
+    /// Cuts an engine off from a target, or heals the cut.
+    pub fn cut(&mut self, engine: usize, server: usize, is_cut: bool) {
+        self.cuts.retain(|cut| *cut != (engine, server));
+        if is_cut {
+            self.cuts.push((engine, server));
+        }
+    }
+
     /// Plays until `until`.
     pub fn run(&mut self, until: u64) {
         while let Some(&Reverse((at, _, number))) = self.agenda.peek() {
@@ -313,7 +324,7 @@
     fn arrive(&mut self, engine: usize, action: Action, late: bool) {
         let (number, order) = self.server_of(&action);
         let fault = self.servers[number].fault;
-        if fault.silent {
+        if fault.silent || self.cuts.contains(&(engine, number)) {
             let reply = Reply::Lost;
             self.add(self.now + TIMEOUT, Item::Give { engine, order, reply });
             return;
