--- a/src/logs.rs
+++ b/src/logs.rs
@@ -8,12 +8,15 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc;
 use std::thread;
-use std::time::SystemTime;
+use std::time::{Instant, SystemTime};
 
 use log::{LevelFilter, Record};
 
 use crate::settings::{Level, Log};
 
+/// The most lines a second of level info and below; warnings and errors are not counted.
+const LINES_PER_SECOND: u64 = 200;
+
 /// Lines that may wait for standard output to take them.
 const LINES_MAX: usize = 2048;
 
@@ -107,13 +110,15 @@
 }
 
 /// Sends all log lines of the process to standard output, without ever waiting for who reads it: lines that
-/// find no room are left out, and their number is told later.
+/// find no room, or no place in the budget of the second, are left out, and their number is told later.
 pub fn start_on_output(level: Level) -> Result<(), Error> {
     let (sender, lines) = mpsc::sync_channel::<String>(LINES_MAX);
     let omitted = Arc::new(AtomicU64::new(0));
     let counted = Arc::clone(&omitted);
+    let budget = Budget::default();
     let send = move |record: &Record<'_>| {
-        if sender.try_send(line(record.args(), record)).is_err() {
+        let may_write = record.level() <= log::Level::Warn || budget.spend();
+        if !may_write || sender.try_send(line(record.args(), record)).is_err() {
             omitted.fetch_add(1, Ordering::Relaxed);
         }
     };
@@ -157,6 +162,31 @@
         .map_err(|error| Error::Open(path.to_owned(), error))
 }
 
+/// How many lines were written in the present second.
+#[derive(Debug)]
+struct Budget {
+    began: Instant,
+    second: AtomicU64,
+    lines: AtomicU64,
+}
+
+impl Default for Budget {
+    fn default() -> Self {
+        Self { began: Instant::now(), second: AtomicU64::new(0), lines: AtomicU64::new(0) }
+    }
+}
+
+impl Budget {
+    /// Whether one more line may be written in this second.
+    fn spend(&self) -> bool {
+        let second = self.began.elapsed().as_secs();
+        if self.second.swap(second, Ordering::Relaxed) != second {
+            self.lines.store(0, Ordering::Relaxed);
+        }
+        self.lines.fetch_add(1, Ordering::Relaxed) < LINES_PER_SECOND
+    }
+}
+
 fn line(message: &fmt::Arguments<'_>, record: &Record<'_>) -> String {
     let time = humantime::format_rfc3339_millis(SystemTime::now());
     let level = record.level().as_str().to_ascii_lowercase();
--- a/src/vm/node.rs
+++ b/src/vm/node.rs
@@ -20,7 +20,7 @@
 use crate::peer::Links;
 use crate::route::Table;
 use crate::runtime;
-use crate::schedule::{Action, Engine, Event, JobId, Rules};
+use crate::schedule::{Action, Engine, Event, JobId, Reply, Rules};
 use crate::settings::Lease;
 use crate::store::Store;
 
@@ -266,6 +266,11 @@
         let node = Arc::clone(self);
         runtime::spawn(async move {
             let reply = calling.await;
+            match reply {
+                Reply::Lost | Reply::Unsent => node.metrics.count(Counter::LeasedLost),
+                Reply::Denied { .. } => node.metrics.count(Counter::LeasedDenied),
+                Reply::Order(_) | Reply::Hold(_) => {}
+            }
             node.handle(Event::Answer { order, reply });
         })
         .detach();
