--- a/src/schedule/hold.rs
+++ b/src/schedule/hold.rs
@@ -233,17 +233,12 @@
                 if run.orphan && run.state == State::Running {
                     strays.push((listed.name.clone(), listed.run));
                 }
-            } else {
-                {
-                    let known = target
-                        .foreign
-                        .iter()
-                        .any(|(name, run)| *run == listed.run && *name == listed.name);
-                    if !known && target.foreign.len() < STOPS_MAX {
-                        target.foreign.push((listed.name.clone(), listed.run));
-                        strays.push((listed.name.clone(), listed.run));
-                    }
-                }
+                continue;
+            }
+            let is_known = |(name, run): &(Name, u32)| *run == listed.run && *name == listed.name;
+            if !target.foreign.iter().any(is_known) && target.foreign.len() < STOPS_MAX {
+                target.foreign.push((listed.name.clone(), listed.run));
+                strays.push((listed.name.clone(), listed.run));
             }
         }
         for (name, run) in strays {
