--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -3,6 +3,7 @@
 #[path = "platform/mod.rs"]
 mod platform;
 
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use gypsumkeel::clock::Millis;
@@ -219,3 +220,29 @@
     assert_eq!(env.submit(0, 1 << 40, 2, 50), Some(done()));
     env.check();
 }
+
+#[test]
+fn a_log_that_nobody_reads_slows_no_request() {
+    let env = Env::start(1, 2);
+    env.vms[0].is_unread.store(true, Ordering::Relaxed);
+    // Far more lines than a pipe and the queue before it hold.
+    let start = Instant::now();
+    let mut slowest = Duration::ZERO;
+    let mut refused = 0;
+    while start.elapsed() < Duration::from_secs(5) {
+        let begun = Instant::now();
+        for id in 0..20 {
+            let kept = json!({ "spec": "1 1", "steps": [{ "count": 1, "cpu": 1 }] });
+            refused += u64::from(env.post(0, id, &kept, Millis(2000)).unwrap().status == 503);
+        }
+        assert_eq!(env.submit(0, 1 << 40 | refused, 1, 10), Some(done()));
+        slowest = slowest.max(begun.elapsed());
+    }
+    assert!(refused > 1000, "{refused} lines are too few to fill the pipe");
+    assert!(slowest < Duration::from_secs(1), "{slowest:?}");
+    env.vms[0].is_unread.store(false, Ordering::Relaxed);
+    wait_until("omissions are told", || {
+        drop(env.submit(0, 1 << 41, 1, 1));
+        env.vms[0].said(&["event=lines-omitted count="])
+    });
+}
--- a/tests/platform/mod.rs
+++ b/tests/platform/mod.rs
@@ -8,6 +8,7 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, LazyLock, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -59,6 +60,8 @@
     pub ip: IpAddr,
     child: Mutex<Child>,
     pub log: Arc<Mutex<Vec<String>>>,
+    /// While true nobody reads the log.
+    pub is_unread: Arc<AtomicBool>,
 }
 
 /// The store, workers and VMs of two failure domains.
@@ -169,13 +172,18 @@
             .spawn()
             .unwrap();
         let log = Arc::<Mutex<Vec<String>>>::default();
+        let is_unread = Arc::<AtomicBool>::default();
         let (output, lines) = (child.stdout.take().unwrap(), Arc::clone(&log));
+        let waits = Arc::clone(&is_unread);
         thread::spawn(move || {
             for line in BufReader::new(output).lines().map_while(Result::ok) {
+                while waits.load(Ordering::Relaxed) {
+                    thread::sleep(Duration::from_millis(20));
+                }
                 lines.lock().unwrap().push(line);
             }
         });
-        Vm { ip: self.ip(index), child: Mutex::new(child), log }
+        Vm { ip: self.ip(index), child: Mutex::new(child), log, is_unread }
     }
 
     fn ask(&self, index: usize, port: u16, question: &Question<'_>) -> Option<(u16, String, bool)> {
