Accept links in one place, tell of answers that can't be read, and decode each entry once

The loop that accepts links stood in both kinds of VM. An answer of a target that could not be read became an empty one without a line in the log; a hold with an unreadable row now counts as lost, since nobody knows the room then.

--- a/src/peer/links.rs
+++ b/src/peer/links.rs
@@ -12,7 +12,7 @@
 use smol::Timer;
 use smol::channel::{self, Sender};
 use smol::future::FutureExt as _;
-use smol::net::TcpStream;
+use smol::net::{TcpListener, TcpStream};
 
 use crate::clock::Millis;
 use crate::event;
@@ -33,6 +33,9 @@
 /// Tries in a row after which an address is given up where no VM is expected.
 const DIALS_MAX: u32 = 200;
 
+/// The pause after a connection that could not be accepted.
+const ACCEPT_PAUSE: Millis = Millis(20);
+
 /// Frames that may wait to be sent on a link that another VM dialled. The queue takes its memory at once.
 const REPLIES_MAX: usize = 256;
 
@@ -156,6 +159,23 @@
         runtime::spawn(async move { links.keep(address, &handler).await }).detach();
     }
 
+    /// Accepts the connections that other VMs dial, for ever.
+    pub async fn listen(self: Arc<Self>, listener: TcpListener, handler: Arc<dyn Handler>) {
+        loop {
+            let Ok((stream, _)) = listener.accept().await else {
+                Timer::after(ACCEPT_PAUSE.duration()).await;
+                continue;
+            };
+            let (links, handler) = (Arc::clone(&self), Arc::clone(&handler));
+            runtime::spawn(async move {
+                if let Err(why) = links.serve(stream, &handler).await {
+                    event!(debug, "link-closed", reason = why);
+                }
+            })
+            .detach();
+        }
+    }
+
     /// Serves a connection that another VM dialled, until it ends.
     ///
     /// The VM at the other end is dialled too: it may be new, and known to nobody while the store is out.
--- a/src/platform/worker.rs
+++ b/src/platform/worker.rs
@@ -9,6 +9,7 @@
 
 use crate::batch::{Name, Room};
 use crate::clock::Millis;
+use crate::event;
 use crate::http::{Answer, Error, Keep, Pool, Question};
 use crate::schedule::{
     Action, Denial, Ended, Ending, HoldAnswer, Listing, OrderAnswer, Reply, Running,
@@ -201,9 +202,10 @@
         Ok(answer) => answer,
         Err(error) => return silence(&error),
     };
-    let said = serde_json::from_slice::<Said>(&answer.body).unwrap_or_default();
+    let said = said(&answer);
     match (answer.status, said.clock_ms) {
         (200, Some(clock)) => Reply::Order(OrderAnswer { clock }),
+        // Executed or not: the next look tells.
         (200, None) => Reply::Lost,
         (status, clock) => Reply::Denied { denial: denial(status, said.reason.as_deref()), clock },
     }
@@ -215,16 +217,38 @@
         Err(error) => return silence(&error),
     };
     if answer.status != 200 {
-        let said = serde_json::from_slice::<Said>(&answer.body).unwrap_or_default();
+        let said = said(&answer);
         let denial = denial(answer.status, said.reason.as_deref());
         return Reply::Denied { denial, clock: said.clock_ms };
     }
-    let Ok(lists) = serde_json::from_slice::<Lists>(&answer.body) else { return Reply::Lost };
-    Reply::Hold(HoldAnswer {
-        clock: lists.clock_ms,
-        life: lists.born,
-        running: lists.running.iter().filter_map(|row| running(row)).collect(),
-        ended: lists.ended.iter().filter_map(|row| ended(row)).collect(),
+    match serde_json::from_slice::<Lists>(&answer.body) {
+        Ok(lists) => held(&lists),
+        Err(error) => {
+            event!(warn, "hold-unreadable", reason = error);
+            Reply::Lost
+        }
+    }
+}
+
+/// What a target runs. With a row that can't be read nobody knows its room, so the whole answer counts as lost.
+fn held(lists: &Lists) -> Reply {
+    let running = lists.running.iter().map(|row| running(row)).collect::<Option<Vec<_>>>();
+    let ended = lists.ended.iter().map(|row| ended(row)).collect::<Option<Vec<_>>>();
+    let (Some(running), Some(ended)) = (running, ended) else {
+        event!(warn, "hold-unreadable", reason = "a row of running or ended has other fields");
+        return Reply::Lost;
+    };
+    Reply::Hold(HoldAnswer { clock: lists.clock_ms, life: lists.born, running, ended })
+}
+
+/// The body of an answer; refusals may come without one.
+fn said(answer: &Answer) -> Said {
+    if answer.body.is_empty() {
+        return Said::default();
+    }
+    serde_json::from_slice(&answer.body).unwrap_or_else(|error| {
+        event!(warn, "answer-unreadable", status = answer.status, reason = error);
+        Said::default()
     })
 }
 
--- a/src/serve/start.rs
+++ b/src/serve/start.rs
@@ -5,12 +5,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use smol::Timer;
 use smol::net::TcpListener;
 
-use crate::clock::Millis;
 use crate::config::{self, Holder};
-use crate::event;
 use crate::http::server;
 use crate::invariant;
 use crate::job::Incarnation;
@@ -25,9 +22,6 @@
 use super::node::Node;
 use super::stop;
 
-/// The pause after a connection that could not be accepted.
-const ACCEPT_PAUSE: Millis = Millis(20);
-
 /// Why a VM could not run.
 #[derive(Debug)]
 pub enum Error {
@@ -117,9 +111,9 @@
     runtime::spawn(watch_members(Arc::clone(&node))).detach();
     runtime::spawn(watch_list(Arc::clone(&node))).detach();
     runtime::spawn(keep_lease(Arc::clone(&node))).detach();
-    runtime::spawn(serve_peers(Arc::clone(&node), peers)).detach();
-    runtime::spawn(serve_callers(Arc::clone(&node), callers)).detach();
     let handler = Arc::clone(&node) as Arc<dyn Handler>;
+    runtime::spawn(Arc::clone(&node.links).listen(peers, Arc::clone(&handler))).detach();
+    runtime::spawn(serve_callers(Arc::clone(&node), callers)).detach();
     for &address in &node.settings.peers {
         node.links.know(address, &handler);
     }
@@ -168,20 +162,3 @@
     let prefix = &node.settings.store.prefix;
     membership::keep_lease(&node.membership, &*node.store, prefix, node.settings.lease).await;
 }
-
-async fn serve_peers(node: Arc<Node>, listener: TcpListener) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            Timer::after(ACCEPT_PAUSE.duration()).await;
-            continue;
-        };
-        let node = Arc::clone(&node);
-        runtime::spawn(async move {
-            let handler = Arc::clone(&node) as Arc<dyn Handler>;
-            if let Err(why) = node.links.serve(stream, &handler).await {
-                event!(debug, "link-closed", reason = why);
-            }
-        })
-        .detach();
-    }
-}
--- a/src/vm/follow.rs
+++ b/src/vm/follow.rs
@@ -1,5 +1,6 @@
 //! Follows the configuration and the targets in the store, each by one waiting call.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 
 use smol::Timer;
@@ -8,12 +9,12 @@
 use crate::event;
 use crate::membership;
 use crate::metrics::Gauge;
-use crate::store::Pace;
+use crate::store::{Entry, Index, Pace};
 use crate::wire::{Call, Reply};
 
 use crate::job::Incarnation;
 
-use super::adapter::Site;
+use super::adapter::{Adapter, Site};
 use super::node::Node;
 
 /// How long a watch waits. A watch whose connection went silent is remade after it, and a change has to be in
@@ -49,12 +50,15 @@
     pub(super) async fn follow_targets(self: Arc<Self>) {
         let mut pace = Pace::new("targets");
         let mut known = Vec::<Site>::new();
+        let mut decoded = Decoded::default();
         loop {
             let prefix = self.adapter.targets_prefix();
             let read = self.store.list(prefix, pace.index(), WATCH_WAIT).await;
             let given = read.map(|read| {
-                let sites = read.value.iter().filter_map(|entry| self.adapter.target(entry));
+                let sites =
+                    read.value.iter().filter_map(|entry| decoded.site(&*self.adapter, entry));
                 let sites = sites.collect::<Vec<_>>();
+                decoded.forget(&read.value);
                 if sites != known {
                     known.clone_from(&sites);
                     self.set_targets(sites);
@@ -133,3 +137,27 @@
         }
     }
 }
+
+/// Targets' entries as they were decoded last, so that each version of one is read, and complained of, once.
+#[derive(Debug, Default)]
+struct Decoded(HashMap<String, (Index, Option<Site>)>);
+
+impl Decoded {
+    fn site(&mut self, adapter: &dyn Adapter, entry: &Entry) -> Option<Site> {
+        if let Some((index, site)) = self.0.get(&entry.key)
+            && *index == entry.index
+        {
+            return site.clone();
+        }
+        let site = adapter.target(entry);
+        self.0.insert(entry.key.clone(), (entry.index, site.clone()));
+        site
+    }
+
+    /// Forgets entries that are no longer there.
+    fn forget(&mut self, entries: &[Entry]) {
+        if self.0.len() > entries.len() {
+            self.0.retain(|key, _| entries.iter().any(|entry| entry.key == *key));
+        }
+    }
+}
--- a/src/vm/start.rs
+++ b/src/vm/start.rs
@@ -5,7 +5,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use smol::Timer;
 use smol::net::TcpListener;
 
 use crate::clock::Millis;
@@ -23,9 +22,6 @@
 use super::node::{Node, Settings};
 use super::stop;
 
-/// The pause after a connection that could not be accepted.
-const ACCEPT_PAUSE: Millis = Millis(20);
-
 /// The most connections of callers at once.
 const CONNECTIONS_MAX: usize = 2000;
 
@@ -117,7 +113,8 @@
         domain = node.settings.domain,
         incarnation = incarnation
     );
-    runtime::spawn(serve_peers(Arc::clone(&node), peers)).detach();
+    let handler = Arc::clone(&node) as Arc<dyn Handler>;
+    runtime::spawn(Arc::clone(&node.links).listen(peers, Arc::clone(&handler))).detach();
     runtime::spawn(keep_lease(Arc::clone(&node))).detach();
     runtime::spawn(Arc::clone(&node).follow_routes()).detach();
     runtime::spawn(Arc::clone(&node).follow_targets()).detach();
@@ -125,7 +122,6 @@
     runtime::spawn(Arc::clone(&node).follow_view()).detach();
     runtime::spawn(Arc::clone(&node).tick()).detach();
     runtime::spawn(Arc::clone(&node).tell_busy()).detach();
-    let handler = Arc::clone(&node) as Arc<dyn Handler>;
     for &address in &node.settings.seeds {
         node.links.know(address, &handler);
     }
@@ -152,20 +148,3 @@
     let prefix = &node.settings.prefix;
     membership::keep_lease(&node.membership, &*node.store, prefix, node.settings.lease).await;
 }
-
-async fn serve_peers(node: Arc<Node>, listener: TcpListener) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            Timer::after(ACCEPT_PAUSE.duration()).await;
-            continue;
-        };
-        let node = Arc::clone(&node);
-        runtime::spawn(async move {
-            let handler = Arc::clone(&node) as Arc<dyn Handler>;
-            if let Err(why) = node.links.serve(stream, &handler).await {
-                event!(debug, "link-closed", reason = why);
-            }
-        })
-        .detach();
-    }
-}
