Wait for nobody's former run after a restart of all

Cause of 400 ms between the start of the processes and the first target that is owned, after all were killed: the registrations of before stay in the store until their leases lapse, and each VM waited up to 300 ms for those runs to say what they own. Ruled out: reading the store (16 ms) and taking over (30 ms). A registration at whose address another run answers, this VM's own among them, no longer counts.

--- a/src/ownership/mod.rs
+++ b/src/ownership/mod.rs
@@ -5,6 +5,7 @@
 //! by the VM that all would choose.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use crate::clock::Millis;
@@ -48,6 +49,8 @@
     pub vm: Arc<str>,
     /// Its failure domain.
     pub domain: Arc<str>,
+    /// Where other VMs reach it.
+    pub address: SocketAddr,
     /// What tells whether it lives.
     pub presence: Presence,
     /// Whether it is being stopped.
@@ -93,6 +96,7 @@
 #[derive(Debug)]
 pub struct Ownership {
     vm: Arc<str>,
+    address: SocketAddr,
     domain: Arc<str>,
     peers: BTreeMap<Incarnation, Peer>,
     /// What VMs said, which may come before anything else is known of them.
@@ -109,10 +113,11 @@
 }
 
 impl Ownership {
-    /// The view of the VM `vm` in `domain`, which knows of nothing yet.
-    pub fn new(vm: &str, domain: &str) -> Self {
+    /// The view of the VM `vm` in `domain` at `address`, which knows of nothing yet.
+    pub fn new(vm: &str, domain: &str, address: SocketAddr) -> Self {
         Self {
             vm: Arc::from(vm),
+            address,
             domain: Arc::from(domain),
             peers: BTreeMap::new(),
             said: BTreeMap::new(),
@@ -130,6 +135,7 @@
     pub fn set_peers(&mut self, now: Millis, peers: impl IntoIterator<Item = (Incarnation, Peer)>) {
         let old = std::mem::take(&mut self.peers);
         self.peers = peers.into_iter().collect();
+        self.drop_former_runs();
         for (id, peer) in &mut self.peers {
             peer.known_since = old.get(id).map_or(now, |known| known.known_since);
         }
@@ -140,6 +146,15 @@
         self.apply_said();
     }
 
+    /// Drops the registrations of runs that are over: another run of the same VM answers at their address. They
+    /// stay in the store until their leases lapse, and nobody is to wait for them after a restart of all.
+    fn drop_former_runs(&mut self) {
+        let linked = self.peers.values().filter(|peer| peer.presence.linked);
+        let mut answering = linked.map(|peer| peer.address).collect::<BTreeSet<_>>();
+        answering.insert(self.address);
+        self.peers.retain(|_, peer| peer.presence.linked || !answering.contains(&peer.address));
+    }
+
     fn apply_said(&mut self) {
         for (id, said) in &self.said {
             if let Some(peer) = self.peers.get_mut(id) {
--- a/src/vm/node.rs
+++ b/src/vm/node.rs
@@ -130,7 +130,7 @@
         membership: Membership,
     ) -> Self {
         let engine = Engine::new(incarnation.0, settings.rules);
-        let ownership = Ownership::new(&settings.vm, &settings.domain);
+        let ownership = Ownership::new(&settings.vm, &settings.domain, settings.peers);
         let clock = Clock::start();
         Self {
             incarnation,
@@ -342,6 +342,7 @@
             let peer = Peer {
                 vm: Arc::from(member.vm.as_str()),
                 domain: Arc::from(member.domain.as_str()),
+                address: member.peers,
                 presence: Presence {
                     registered: true,
                     linked: up.contains_key(&id),
@@ -357,6 +358,7 @@
             peers.entry(id).or_insert_with(|| Peer {
                 vm: Arc::from(link.hello.vm.as_str()),
                 domain: Arc::from(link.hello.domain.as_str()),
+                address: link.hello.peers,
                 presence: Presence { registered: false, linked: true, refused: false },
                 draining: false,
                 owns: None,
--- a/tests/ownership.rs
+++ b/tests/ownership.rs
@@ -1,6 +1,7 @@
 //! Who takes which target, and when.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use gypsumkeel::clock::Millis;
@@ -13,10 +14,17 @@
     Incarnation(number)
 }
 
+/// A VM's address: the port ends with the number in its name.
+fn address(vm: &str) -> SocketAddr {
+    let number = vm.trim_start_matches('v').parse::<u16>().unwrap();
+    SocketAddr::from(([127, 0, 0, 1], 7000 + number))
+}
+
 fn peer(vm: &str, domain: &str, presence: Presence) -> Peer {
     Peer {
         vm: Arc::from(vm),
         domain: Arc::from(domain),
+        address: address(vm),
         presence,
         draining: false,
         owns: None,
@@ -36,7 +44,7 @@
 /// The views of VMs `vms` of domain a, which all know each other and have said that they own nothing.
 fn views(vms: &[&str]) -> Vec<Ownership> {
     let view = |own: usize| {
-        let mut view = Ownership::new(vms[own], "a");
+        let mut view = Ownership::new(vms[own], "a", address(vms[own]));
         view.set_targets(targets("a", 16));
         let others = vms.iter().enumerate().filter(|(other, _)| *other != own);
         let others = others.map(|(other, vm)| (id(other as u128), peer(vm, "a", ALIVE)));
@@ -77,7 +85,7 @@
         Presence { registered: true, linked: false, refused: false },
         Presence { registered: false, linked: true, refused: false },
     ] {
-        let mut view = Ownership::new("v0", "a");
+        let mut view = Ownership::new("v0", "a", address("v0"));
         view.set_targets(targets("a", 16));
         view.set_peers(Millis(0), [(id(1), peer("v1", "a", presence))]);
         view.tell(id(1), owned("a", 16), false);
@@ -91,7 +99,7 @@
         Presence { registered: false, linked: false, refused: false },
         Presence { registered: true, linked: false, refused: true },
     ] {
-        let mut view = Ownership::new("v0", "a");
+        let mut view = Ownership::new("v0", "a", address("v0"));
         view.set_targets(targets("a", 16));
         let beside = (id(2), peer("v2", "b", ALIVE));
         view.set_peers(Millis(0), [(id(1), peer("v1", "a", ALIVE)), beside.clone()]);
@@ -103,7 +111,7 @@
 
 #[test]
 fn what_a_vm_says_before_it_is_known_counts() {
-    let mut view = Ownership::new("v0", "a");
+    let mut view = Ownership::new("v0", "a", address("v0"));
     view.set_targets(targets("a", 16));
     view.tell(id(1), owned("a", 16), false);
     view.set_peers(Millis(0), [(id(1), peer("v1", "a", ALIVE))]);
@@ -113,7 +121,7 @@
 
 #[test]
 fn a_vm_that_has_just_come_is_heard_first() {
-    let mut view = Ownership::new("v0", "a");
+    let mut view = Ownership::new("v0", "a", address("v0"));
     view.set_targets(targets("a", 16));
     view.set_peers(Millis(1000), [(id(1), peer("v1", "a", ALIVE))]);
     assert!(view.to_take(Millis(1010)).is_empty());
@@ -123,7 +131,7 @@
 
 #[test]
 fn a_domain_without_vms_is_taken_after_a_while() {
-    let mut view = Ownership::new("v0", "a");
+    let mut view = Ownership::new("v0", "a", address("v0"));
     view.set_targets(targets("b", 16));
     assert!(view.to_take(Millis(1000)).is_empty());
     assert!(view.to_take(Millis(2000)).is_empty());
@@ -136,7 +144,7 @@
 
 #[test]
 fn a_target_lost_to_another_is_left_alone_for_a_while() {
-    let mut view = Ownership::new("v0", "a");
+    let mut view = Ownership::new("v0", "a", address("v0"));
     view.set_targets(targets("a", 1));
     let target = Arc::from("a0");
     view.gain(&target);
@@ -147,7 +155,7 @@
 
 #[test]
 fn a_vm_that_stops_takes_nothing_and_is_not_chosen() {
-    let mut view = Ownership::new("v0", "a");
+    let mut view = Ownership::new("v0", "a", address("v0"));
     view.set_targets(targets("a", 16));
     view.set_peers(Millis(0), [(id(1), peer("v1", "a", ALIVE))]);
     view.tell(id(1), BTreeSet::new(), true);
@@ -158,7 +166,7 @@
 
 #[test]
 fn a_target_that_leaves_is_not_taken() {
-    let mut view = Ownership::new("v0", "a");
+    let mut view = Ownership::new("v0", "a", address("v0"));
     let mut places = targets("a", 2);
     places.get_mut("a0").unwrap().wanted = false;
     view.set_targets(places);
@@ -167,7 +175,7 @@
 
 /// A VM of domain a that knows a VM of domain b, which owns b's targets, and one beside it.
 fn view_of_two_domains() -> Ownership {
-    let mut view = Ownership::new("v0", "a");
+    let mut view = Ownership::new("v0", "a", address("v0"));
     view.set_targets(targets("b", 16));
     let peers = [(id(1), peer("v1", "b", ALIVE)), (id(2), peer("v2", "a", ALIVE))];
     view.set_peers(Millis(0), peers);
@@ -198,7 +206,7 @@
 
 #[test]
 fn a_vm_that_reaches_nobody_takes_nothing() {
-    let mut view = Ownership::new("v0", "a");
+    let mut view = Ownership::new("v0", "a", address("v0"));
     view.set_targets(targets("a", 16));
     view.set_peers(Millis(0), [(id(1), peer("v1", "a", ALIVE))]);
     let silent = Presence { registered: true, linked: false, refused: true };
@@ -214,7 +222,7 @@
 
 #[test]
 fn while_the_store_is_out_a_silent_link_is_enough() {
-    let mut view = Ownership::new("v0", "a");
+    let mut view = Ownership::new("v0", "a", address("v0"));
     view.set_targets(targets("a", 16));
     let silent = Presence { registered: true, linked: false, refused: false };
     let others = [(id(1), peer("v1", "a", silent)), (id(2), peer("v2", "b", ALIVE))];
@@ -224,3 +232,29 @@
     assert!(view.to_take(Millis(2000)).is_empty());
     assert_eq!(view.to_take(Millis(2600)).len(), 16);
 }
+
+#[test]
+fn after_a_restart_of_all_nobody_waits_for_the_runs_of_before() {
+    let stale = Presence { registered: true, linked: false, refused: false };
+    let mut view = Ownership::new("v0", "a", address("v0"));
+    view.set_targets(targets("a", 16));
+    // The registrations of before have not lapsed: this VM's own, and that of the VM beside it, which is back.
+    let runs = [
+        (id(10), peer("v0", "a", stale)),
+        (id(11), peer("v1", "a", stale)),
+        (id(1), peer("v1", "a", ALIVE)),
+    ];
+    view.set_peers(Millis(20), runs);
+    view.tell(id(1), BTreeSet::new(), false);
+    let mut other = Ownership::new("v1", "a", address("v1"));
+    other.set_targets(targets("a", 16));
+    let runs = [
+        (id(10), peer("v0", "a", stale)),
+        (id(11), peer("v1", "a", stale)),
+        (id(0), peer("v0", "a", ALIVE)),
+    ];
+    other.set_peers(Millis(20), runs);
+    other.tell(id(0), BTreeSet::new(), false);
+    let taken = view.to_take(Millis(30)).len() + other.to_take(Millis(30)).len();
+    assert_eq!(taken, 16);
+}
