--- a/src/schedule/engine.rs
+++ b/src/schedule/engine.rs
@@ -10,7 +10,7 @@
 use super::event::{Account, Action, Event, JobId, Listing, Load, OrderId, Rules};
 use super::fence::Fence;
 use super::order::Order;
-use super::queue::{Backlog, Class, Queue, Rank};
+use super::queue::{Class, Queue, Rank, time_for};
 use super::speed::Speeds;
 use super::target::{Phase, Target};
 
@@ -103,7 +103,7 @@
         let (total, free) = sound.fold((0, 0), |(total, free), target| {
             (total + target.listing.room.cpu, free + target.free().cpu)
         });
-        let backlog = Backlog::time(self.queue.backlog().all, total);
+        let backlog = time_for(self.queue.backlog(), total);
         Load { total_cpu: total, free_cpu: free, backlog }
     }
 
@@ -196,7 +196,7 @@
     /// When a batch of a class would end behind what waits ahead of it.
     fn expected_end(&self, now: Millis, id: JobId, job: &Job, class: Class, factor: f64) -> Millis {
         let ahead = self.queue.ahead_of(&Rank::of(id, job, class));
-        let wait = Backlog::time(ahead, self.load(now).total_cpu);
+        let wait = time_for(ahead, self.load(now).total_cpu);
         now + wait + scaled(job.chain, factor)
     }
 
--- a/src/schedule/queue.rs
+++ b/src/schedule/queue.rs
@@ -72,20 +72,9 @@
     }
 }
 
-/// The work that waits, in thousandths of a core times milliseconds.
-#[derive(Clone, Copy, Debug, Default)]
-pub(super) struct Backlog {
-    /// Of batches that may end within their objective.
-    pub timely: u64,
-    /// Of all.
-    pub all: u64,
-}
-
-impl Backlog {
-    /// The time that `cpu` thousandths of cores need for `work`.
-    pub fn time(work: u64, cpu: u64) -> Millis {
-        Millis(work / cpu.max(1))
-    }
+/// The time that `cpu` thousandths of cores need for `work`, in thousandths of a core times milliseconds.
+pub(super) fn time_for(work: u64, cpu: u64) -> Millis {
+    Millis(work / cpu.max(1))
 }
 
 /// Jobs with tasks whose turn has come.
@@ -93,7 +82,8 @@
 pub(super) struct Queue {
     ranks: BTreeMap<JobId, Rank>,
     order: BTreeMap<Rank, u64>,
-    backlog: Backlog,
+    /// All work that waits, in thousandths of a core times milliseconds.
+    backlog: u64,
 }
 
 impl Queue {
@@ -105,20 +95,14 @@
         }
         self.ranks.insert(rank.job, rank);
         self.order.insert(rank, work);
-        self.backlog.all += work;
-        if rank.class == Class::Timely {
-            self.backlog.timely += work;
-        }
+        self.backlog += work;
     }
 
     /// Takes a job out.
     pub fn remove(&mut self, job: JobId) {
         let Some(rank) = self.ranks.remove(&job) else { return };
         let work = self.order.remove(&rank).unwrap_or_default();
-        self.backlog.all -= work;
-        if rank.class == Class::Timely {
-            self.backlog.timely -= work;
-        }
+        self.backlog -= work;
     }
 
     /// All jobs, the first to serve first.
@@ -131,8 +115,8 @@
         self.order.range(..*rank).map(|(_, work)| work).sum()
     }
 
-    /// The work that waits.
-    pub const fn backlog(&self) -> Backlog {
+    /// All work that waits, in thousandths of a core times milliseconds.
+    pub const fn backlog(&self) -> u64 {
         self.backlog
     }
 
--- a/src/vm/peers.rs
+++ b/src/vm/peers.rs
@@ -70,7 +70,7 @@
     }
 
     fn left(&self, from: Incarnation) {
-        // Weak spots of the link are no reason to run on: whoever passed the batches on sends them anew.
+        // The VM that passed the batches on counts on their end: it runs them anew after a while.
         let jobs = {
             let mut core = self.lock();
             core.loads.remove(&from);
