--- a/src/vm/submit.rs
+++ b/src/vm/submit.rs
@@ -13,7 +13,8 @@
 use crate::job::Incarnation;
 use crate::metrics::{Counter, Timer as Timing};
 use crate::peer::Link;
-use crate::schedule::{JobId, Load};
+use crate::route::{self, Candidate, Demand};
+use crate::schedule::JobId;
 use crate::wire::{Call, Note, Reply};
 
 use super::node::Node;
@@ -21,9 +22,6 @@
 /// How long a batch waits for any VM to own targets, as just after a start.
 const OWNER_WAIT_MAX: Millis = Millis(400);
 
-/// What another VM is sent rather than this one must be shorter by, so that a batch doesn't travel for nothing.
-const AWAY_COST: Millis = Millis(10);
-
 /// The most VMs that are tried for one batch.
 const TRIES_MAX: usize = 4;
 
@@ -135,49 +133,43 @@
         find.or(late).await
     }
 
-    /// The VM that can begin soonest, of those that own targets on the batch's rack if it names one.
+    /// The VM that can end the batch soonest, of those that were not tried yet.
     fn choose_owner(&self, spec: &Spec, tried: &BTreeSet<Owner>) -> Option<Owner> {
         let places = self.places.load();
         let rack = spec.steps.iter().find_map(|step| step.near_rack.as_ref());
         let near = rack.and_then(|rack| places.racks.get(rack));
+        let mut candidates = self.candidates(near.map(|targets| &targets[..]));
+        candidates.retain(|candidate| !tried.contains(&candidate.vm));
+        let demand = Demand::of(spec, near.map(|_| self.settings.rules.far_factor));
+        route::choose(candidates, demand).map(|candidate| candidate.vm)
+    }
+
+    /// The VMs that own targets. Those of `near`, if given, are where the batch belongs.
+    fn candidates(&self, near: Option<&[Arc<str>]>) -> Vec<Candidate<Owner>> {
         let core = self.lock();
         let own = core.engine.load(self.clock.now());
-        let mut candidates = Vec::<(Owner, Load, bool)>::new();
+        let mut candidates = Vec::new();
         if own.total_cpu > 0 {
             let is_near = near.is_none_or(|targets| {
                 targets.iter().any(|target| core.ownership.own().contains(target))
             });
-            candidates.push((Owner::Own, own, is_near));
+            candidates.push(Candidate { vm: Owner::Own, load: own, is_near });
         }
         for (vm, peer) in core.ownership.alive(self.clock.now()) {
             let Some(owns) = peer.owns.as_ref().filter(|_| peer.presence.linked && !peer.draining)
             else {
                 continue;
             };
-            let Some(load) = core.loads.get(&vm).filter(|load| load.total_cpu > 0) else {
+            let Some(&load) = core.loads.get(&vm).filter(|load| load.total_cpu > 0) else {
                 continue;
             };
             let is_near = match near {
                 Some(targets) => targets.iter().any(|target| owns.contains(target)),
                 None => *peer.domain == *self.settings.domain,
             };
-            candidates.push((Owner::Peer(vm), *load, is_near));
+            candidates.push(Candidate { vm: Owner::Peer(vm), load, is_near });
         }
-        drop(core);
-        candidates.retain(|(owner, ..)| !tried.contains(owner));
-        let away = match near {
-            // Away from its data a batch lasts that much longer.
-            Some(_) => {
-                let chain = spec.longest_chain(|step| step.estimate);
-                Millis((chain.0 as f64 * (self.settings.rules.far_factor - 1.0)) as u64)
-            }
-            None => AWAY_COST,
-        };
-        let need = spec.steps.first().map_or(0, |step| step.need.cpu);
         candidates
-            .into_iter()
-            .min_by_key(|(_, load, is_near)| cost(load, *is_near, away, need))
-            .map(|(owner, ..)| owner)
     }
 
     async fn run_here(self: &Arc<Self>, spec: &Arc<Spec>, wait: Wait) -> Outcome {
@@ -211,15 +203,6 @@
     }
 }
 
-/// What an owner costs a batch: the smallest is taken.
-fn cost(load: &Load, is_near: bool, away: Millis, need: u64) -> (Millis, u64) {
-    let away = if is_near { Millis::ZERO } else { away };
-    let is_full = load.free_cpu < need;
-    let full = if is_full { AWAY_COST } else { Millis::ZERO };
-    let used = load.total_cpu - load.free_cpu.min(load.total_cpu);
-    (load.backlog + away + full, used * 100 / load.total_cpu.max(1))
-}
-
 /// Stops a batch whose caller has left.
 struct Guard<'a> {
     node: &'a Arc<Node>,
--- a/tests/schedule.rs
+++ b/tests/schedule.rs
@@ -1,6 +1,8 @@
 //! The scheduler of leased targets under virtual time: what it starts where and when, and that no fault makes
 //! a task run twice, without room, before its turn or after a drain. The targets of the model check that.
 
+#[path = "schedule/load/mod.rs"]
+mod load;
 #[path = "schedule/model.rs"]
 mod model;
 
--- a/tests/schedule/model.rs
+++ b/tests/schedule/model.rs
@@ -2,7 +2,7 @@
 //! nothing runs twice, without room, or after a drain.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap};
 use std::sync::Arc;
 
 use fastrand::Rng;
@@ -65,6 +65,8 @@
     drained_at: Option<u64>,
     pub starts: u64,
     pub busy_ms: u64,
+    /// When it is looked at.
+    looks: BTreeSet<u64>,
 }
 
 #[derive(Clone, Debug)]
@@ -89,9 +91,12 @@
 /// A world of engines and targets.
 pub struct Model {
     pub now: u64,
+    rules: Rules,
     pub engines: Vec<Engine>,
     pub servers: Vec<Server>,
     pub got: BTreeMap<(usize, u64), Got>,
+    /// The batches that ended, by engine and number, until someone takes them out.
+    pub ended: Vec<(usize, u64)>,
     pub owned: Vec<(usize, Arc<str>)>,
     pub left: Vec<(usize, Arc<str>, bool)>,
     /// Engines that stand still: nothing reaches them until they go on.
@@ -151,11 +156,24 @@
 impl Model {
     /// A world in which engine 0 takes all targets at once.
     pub fn new(engines: usize, listings: Vec<Listing>, seed: u64) -> Self {
+        Self::with_owners(engines, listings, RULES, seed, |_| 0)
+    }
+
+    /// A world in which each target is taken by the engine that `owner_of` names.
+    pub fn with_owners(
+        engines: usize,
+        listings: Vec<Listing>,
+        rules: Rules,
+        seed: u64,
+        owner_of: impl Fn(&Listing) -> usize,
+    ) -> Self {
         let mut model = Self {
             now: 0,
-            engines: (0..engines).map(|n| Engine::new(n as u128 + 1, RULES)).collect(),
+            rules,
+            engines: (0..engines).map(|n| Engine::new(n as u128 + 1, rules)).collect(),
             servers: listings.into_iter().map(Server::new).collect(),
             got: BTreeMap::new(),
+            ended: Vec::new(),
             owned: Vec::new(),
             left: Vec::new(),
             frozen: vec![false; engines],
@@ -174,8 +192,9 @@
             model.add(1, Item::Ticks { engine });
         }
         for server in 0..model.servers.len() {
-            let target = Arc::clone(&model.servers[server].listing.id);
-            model.event(0, 0, Event::Take { target, round: 0 });
+            let listing = &model.servers[server].listing;
+            let (owner, target) = (owner_of(listing), Arc::clone(&listing.id));
+            model.event(0, owner, Event::Take { target, round: 0 });
         }
         model.run(20);
         model
@@ -220,11 +239,30 @@
         lasts: u64,
         patience: u64,
     ) {
+        let spec = self.know(spec, lasts);
+        let event = Event::Submit { job, spec, age: Millis::ZERO, patience: Millis(patience) };
+        self.event(at, engine, event);
+    }
+
+    /// Submits a batch now that was sent a while ago; `times` are its age and how long its caller still waits.
+    pub fn submit_aged(
+        &mut self,
+        engine: usize,
+        job: u64,
+        spec: Spec,
+        lasts: u64,
+        (age, patience): (Millis, Millis),
+    ) {
+        let spec = self.know(spec, lasts);
+        self.event(self.now, engine, Event::Submit { job, spec, age, patience });
+    }
+
+    /// Lets the targets know what the tasks of a batch are.
+    fn know(&mut self, spec: Spec, lasts: u64) -> Arc<Spec> {
         let spec = Arc::new(spec);
         self.specs.insert(Arc::clone(&spec.id), Arc::clone(&spec));
         self.lasts.insert(Arc::clone(&spec.id), lasts);
-        let event = Event::Submit { job, spec, age: Millis::ZERO, patience: Millis(patience) };
-        self.event(at, engine, event);
+        spec
     }
 
     /// Cuts an engine off from a target, or heals the cut.
@@ -273,7 +311,10 @@
                 self.handle(engine, Event::Tick);
                 self.add(self.now + 25, Item::Ticks { engine });
             }
-            Item::Look { server } => self.look(server),
+            Item::Look { server } => {
+                self.servers[server].looks.remove(&self.now);
+                self.look(server);
+            }
             Item::Fault { server, fault } => self.servers[server].fault = fault,
             Item::Crash { server } => {
                 for (engine, order, _) in self.servers[server].crash() {
@@ -298,6 +339,7 @@
             match action {
                 Action::End { job, outcome, .. } => {
                     let got = Got { outcome, at: self.now };
+                    self.ended.push((engine, job));
                     let old = self.got.insert((engine, job), got);
                     assert!(old.is_none(), "batch {job} ended twice: {old:?}");
                 }
@@ -405,7 +447,7 @@
                     return Some(server.report(now));
                 }
                 server.waiting.push((engine, *order, now + wait.0));
-                self.add(now + wait.0, Item::Look { server: number });
+                self.look_at(now + wait.0, number);
                 self.schedule_look(number);
                 None
             }
@@ -441,7 +483,7 @@
             .near_rack
             .as_deref()
             .is_some_and(|rack| server.listing.rack.as_deref() != Some(rack));
-        let far = if is_far { RULES.far_factor } else { 1.0 };
+        let far = if is_far { self.rules.far_factor } else { 1.0 };
         let lasts = (self.lasts[&name.job] as f64 * server.slowness * far) as u64;
         server.starts += 1;
         let work = Work { name: name.clone(), run, need: step.need, since: self.now, lasts };
@@ -455,6 +497,14 @@
         self.schedule_look(number);
     }
 
+    /// Has a target looked at, once for each time.
+    fn look_at(&mut self, at: u64, number: usize) {
+        let at = at.max(self.now);
+        if self.servers[number].looks.insert(at) {
+            self.add(at, Item::Look { server: number });
+        }
+    }
+
     /// Has the target looked at when the next of its tasks ends or its lease lapses.
     fn schedule_look(&mut self, number: usize) {
         let server = &self.servers[number];
@@ -463,8 +513,8 @@
             + 1
             + server.lease.saturating_sub(server.clock(self.now)) * 1000 / server.clock_rate;
         if let Some(end) = ends {
-            self.add(end.max(self.now), Item::Look { server: number });
-            self.add(lapse, Item::Look { server: number });
+            self.look_at(end, number);
+            self.look_at(lapse, number);
         }
     }
 
@@ -488,7 +538,7 @@
         if !server.running.is_empty() {
             let next = server.running.iter().map(|work| work.since + work.lasts).min();
             if let Some(next) = next.filter(|&next| next > now) {
-                self.add(next, Item::Look { server: number });
+                self.look_at(next, number);
             }
         }
         self.answer_holds(number);
@@ -539,6 +589,7 @@
             drained_at: None,
             starts: 0,
             busy_ms: 0,
+            looks: BTreeSet::new(),
         }
     }
 
@@ -586,7 +637,8 @@
         let mut listing = self.listing.clone();
         listing.life += 1;
         let (starts, clock_rate) = (self.starts, self.clock_rate);
-        *self = Self { clock_rate, starts, ..Self::new(listing) };
+        let looks = std::mem::take(&mut self.looks);
+        *self = Self { slowness: self.slowness, clock_rate, starts, looks, ..Self::new(listing) };
         waiting
     }
 }
