Work out a target's slowness once a tick, not at each look

Change: the factor stands with the target, and is worked out when a task ends there and at each tick.

--- a/src/schedule/engine.rs
+++ b/src/schedule/engine.rs
@@ -298,6 +298,7 @@
         target.foreign.clear();
         target.health = super::target::Health::default();
         target.track = super::speed::Track::default();
+        target.slowness = self.speeds.slowness(&target.track, target.kind());
         target.unsure = true;
         self.drop_runs(now, number);
         self.tend(now, number, actions);
@@ -334,6 +335,8 @@
 
     fn tick(&mut self, now: Millis, actions: &mut Vec<Action>) {
         for number in 0..self.targets.len() {
+            let target = &mut self.targets[number];
+            target.slowness = self.speeds.slowness(&target.track, target.kind());
             self.lapse_runs(now, number);
             self.drop_unlisted(now, number, actions);
             self.release_idle(number, actions);
--- a/src/schedule/order.rs
+++ b/src/schedule/order.rs
@@ -69,7 +69,7 @@
         let expected = self.expected(&spec, step);
         let target = &self.targets[number];
         let far = is_far(step.near_rack.as_deref(), target.listing.rack.as_deref());
-        let slowness = self.speeds.slowness(&target.track, target.kind());
+        let slowness = target.slowness;
         let factor = if far { self.rules.far_factor } else { 1.0 };
         let target = &mut self.targets[number];
         target.lapse_by = target.lapse_by.max(lapse);
@@ -302,6 +302,7 @@
         target.health.succeed();
         let kind = target.listing.labels.first();
         self.speeds.learn(&mut target.track, kind, &job.spec.queue, sample);
+        target.slowness = self.speeds.slowness(&target.track, target.kind());
         if job.finish(run.task) {
             self.end(run.job, Outcome::Done, actions);
         } else {
--- a/src/schedule/placement.rs
+++ b/src/schedule/placement.rs
@@ -112,8 +112,7 @@
 
     /// How much longer than expected a task lasts on a target.
     fn factor(&self, target: &Target, far: bool) -> f64 {
-        let slowness = self.speeds.slowness(&target.track, target.kind());
-        if far { slowness * self.rules.far_factor } else { slowness }
+        if far { target.slowness * self.rules.far_factor } else { target.slowness }
     }
 
     /// The smallest factor of any sound target for the next task of a batch, busy ones too.
--- a/src/schedule/target.rs
+++ b/src/schedule/target.rs
@@ -63,6 +63,8 @@
     pub lapse_by: Millis,
     pub health: Health,
     pub track: Track,
+    /// How much longer than declared tasks last there, as a factor that was worked out at the last tick or end.
+    pub slowness: f64,
 }
 
 /// A target's clock as it was read last.
@@ -131,6 +133,7 @@
             lapse_by: Millis::ZERO,
             health: Health::default(),
             track: Track::default(),
+            slowness: 1.0,
         }
     }
 
