Bound warnings in the log too, keep them before successes, and count what is left out by event

Cause: warnings had no bound, so refusals under overload could be written without end, while refusals and failures themselves were of level info and competed with successes; one number told all that was left out. The level and the budget could not be set. Tests: the budget by kind, omissions by event, a wrong level; the run with an unread log now asks for the event's name.

--- a/src/batch/outcome.rs
+++ b/src/batch/outcome.rs
@@ -41,6 +41,16 @@
     Stopping,
 }
 
+impl Outcome {
+    /// How severe a line of the log on this end is: any end but a success needs a look.
+    pub const fn log_level(&self) -> log::Level {
+        match self {
+            Self::Done => log::Level::Info,
+            _ => log::Level::Warn,
+        }
+    }
+}
+
 impl fmt::Display for Refusal {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
--- a/src/cli/help.rs
+++ b/src/cli/help.rs
@@ -76,7 +76,8 @@
     /// What the command takes.
     pub const fn shape(self) -> Shape {
         let (options, flags, words_max): (&[_], &[_], _) = match self {
-            Self::Main | Self::Platform => (&[], &[], 0),
+            Self::Main => (&[], &[], 0),
+            Self::Platform => (&["log-level", "log-lines"], &[], 0),
             Self::Serve => (&["settings"], &[], 0),
             Self::Dev => (&["targets"], &[], 0),
             Self::Submit => (&["entry", "key", "timeout"], &["repeatable"], 1),
@@ -142,7 +143,11 @@
 const PLATFORM: &str = "\
 Run an entry VM on the users' platform until SIGTERM or SIGINT, which stop it without cutting a job in flight.
 
-Usage: gypsumkeel platform
+Usage: gypsumkeel platform [--log-level LEVEL] [--log-lines N]
+
+Options:
+  --log-level LEVEL  The least severe lines to log: off, error, warn, info, debug or trace [default: info]
+  --log-lines N      The most lines a second, of warnings and errors and of the rest each [default: 200]
 
 The platform writes the settings, names their file in the environment, and reads the logs from standard output.
 ";
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -10,6 +10,9 @@
 use std::path::PathBuf;
 
 use lexopt::{Arg, Parser};
+use serde::Deserialize as _;
+use serde::de::IntoDeserializer as _;
+use serde::de::value::{Error as ValueError, StrDeserializer};
 
 pub use self::error::Error;
 pub use self::help::Topic;
@@ -17,6 +20,8 @@
 use self::words::Words;
 use crate::clock::Millis;
 use crate::config::Name;
+use crate::logs::LINES_PER_SECOND;
+use crate::settings::Level;
 
 /// The targets that `dev` runs where no number is given.
 const DEV_TARGETS: usize = 4;
@@ -30,6 +35,9 @@
 /// The key prefix of an installation where none is given, as in the settings.
 const STORE_PREFIX: &str = "gypsumkeel";
 
+/// What fits as a level.
+const LEVEL_EXPECTED: &str = "off, error, warn, info, debug or trace";
+
 /// What fits as a section's name.
 const SECTION_EXPECTED: &str = "targets, services, limits or teams, or a part such as targets/a";
 
@@ -46,7 +54,7 @@
         settings: PathBuf,
     },
     /// Run an entry VM on the users' platform.
-    Platform,
+    Platform(Platform),
     /// Run the embedded default.
     Dev {
         /// How many built-in targets to run.
@@ -65,6 +73,15 @@
     Status(Status),
 }
 
+/// The words of `platform`.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Platform {
+    /// The least severe level that is logged.
+    pub log_level: Level,
+    /// The most usual and the most severe lines a second.
+    pub log_lines: u64,
+}
+
 /// The words of `submit`.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Submit {
@@ -148,7 +165,7 @@
     }
     match topic {
         Topic::Main => Ok(Command::Help(topic)),
-        Topic::Platform => Ok(Command::Platform),
+        Topic::Platform => platform(&words),
         Topic::Serve => Ok(Command::Serve { settings: words.required("settings")?.into() }),
         Topic::Dev => dev(&words),
         Topic::Submit => submit(&words),
@@ -158,6 +175,19 @@
     }
 }
 
+fn platform(words: &Words) -> Result<Command, Error> {
+    let level = |text: &str| {
+        let word: StrDeserializer<'_, ValueError> = text.into_deserializer();
+        Level::deserialize(word).ok()
+    };
+    let log_level = words.optional("log-level", LEVEL_EXPECTED, level)?;
+    let log_lines = words.optional("log-lines", "a number of lines", |text| text.parse().ok())?;
+    Ok(Command::Platform(Platform {
+        log_level: log_level.unwrap_or_default(),
+        log_lines: log_lines.unwrap_or(LINES_PER_SECOND),
+    }))
+}
+
 fn dev(words: &Words) -> Result<Command, Error> {
     let expected = "a number of targets from 1 to 64";
     let fits = |text: &str| text.parse().ok().filter(|count| (1..=DEV_TARGETS_MAX).contains(count));
--- a/src/logs.rs
+++ b/src/logs/mod.rs
@@ -1,32 +1,35 @@
-//! Logs: one line of key=value pairs for each event, on standard error or in a file.
+//! Logs: one line of key=value pairs for each event, on standard error, in a file, or bounded on standard output.
+
+mod budget;
+mod output;
 
 use std::fmt::{self, Write as _};
 use std::fs::OpenOptions;
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
-use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::mpsc;
-use std::thread;
-use std::time::{Instant, SystemTime};
+use std::time::SystemTime;
 
 use log::{LevelFilter, Record};
 
+pub use self::budget::{Budget, Kind};
+pub use self::output::{LINES_PER_SECOND, start_on_output};
 use crate::settings::{Level, Log};
 
-/// The most lines a second of level info and below; warnings and errors are not counted.
-const LINES_PER_SECOND: u64 = 200;
-
-/// Lines that may wait for standard output to take them.
-const LINES_MAX: usize = 2048;
-
-/// Logs one event: a level, its name, and its pairs.
+/// Logs one event: a level, its name, and its pairs. A level that is only known at run time stands after `at`.
 ///
 /// ```
 /// gypsumkeel::event!(info, "config-applied", version = 3, who = "ana");
 /// ```
 #[macro_export]
 macro_rules! event {
+    (at $level:expr, $name:expr $(, $key:ident = $value:expr)* $(,)?) => {
+        log::log!(
+            $level,
+            "event={}{}",
+            $name,
+            $crate::logs::Pairs(&[$((stringify!($key), &$value as &dyn ::std::fmt::Display)),*])
+        )
+    };
     ($level:ident, $name:expr $(, $key:ident = $value:expr)* $(,)?) => {
         log::$level!(
             "event={}{}",
@@ -109,44 +112,10 @@
         .map_err(|_| Error::Twice)
 }
 
-/// Sends all log lines of the process to standard output, without ever waiting for who reads it: lines that
-/// find no room, or no place in the budget of the second, are left out, and their number is told later.
-pub fn start_on_output(level: Level) -> Result<(), Error> {
-    let (sender, lines) = mpsc::sync_channel::<String>(LINES_MAX);
-    let omitted = Arc::new(AtomicU64::new(0));
-    let counted = Arc::clone(&omitted);
-    let budget = Budget::default();
-    let send = move |record: &Record<'_>| {
-        let may_write = record.level() <= log::Level::Warn || budget.spend();
-        if !may_write || sender.try_send(line(record.args(), record)).is_err() {
-            omitted.fetch_add(1, Ordering::Relaxed);
-        }
-    };
-    let write = move || {
-        let mut output = io::stdout();
-        for line in lines {
-            let omitted = counted.swap(0, Ordering::Relaxed);
-            let written = match omitted {
-                0 => writeln!(output, "{line}"),
-                _ => writeln!(output, "{line}\nevent=lines-omitted count={omitted}"),
-            };
-            // Nobody reads any longer: nothing is left to tell it to.
-            if written.is_err() {
-                return;
-            }
-        }
-    };
-    thread::Builder::new().name("logs".to_owned()).spawn(write).map_err(Error::Thread)?;
-    fern::Dispatch::new()
-        .level(level.into())
-        .chain(fern::Output::call(send))
-        .apply()
-        .map_err(|_| Error::Twice)
-}
-
 impl From<Level> for LevelFilter {
     fn from(level: Level) -> Self {
         match level {
+            Level::Off => Self::Off,
             Level::Error => Self::Error,
             Level::Warn => Self::Warn,
             Level::Info => Self::Info,
@@ -162,31 +131,6 @@
         .map_err(|error| Error::Open(path.to_owned(), error))
 }
 
-/// How many lines were written in the present second.
-#[derive(Debug)]
-struct Budget {
-    began: Instant,
-    second: AtomicU64,
-    lines: AtomicU64,
-}
-
-impl Default for Budget {
-    fn default() -> Self {
-        Self { began: Instant::now(), second: AtomicU64::new(0), lines: AtomicU64::new(0) }
-    }
-}
-
-impl Budget {
-    /// Whether one more line may be written in this second.
-    fn spend(&self) -> bool {
-        let second = self.began.elapsed().as_secs();
-        if self.second.swap(second, Ordering::Relaxed) != second {
-            self.lines.store(0, Ordering::Relaxed);
-        }
-        self.lines.fetch_add(1, Ordering::Relaxed) < LINES_PER_SECOND
-    }
-}
-
 fn line(message: &fmt::Arguments<'_>, record: &Record<'_>) -> String {
     let time = humantime::format_rfc3339_millis(SystemTime::now());
     let level = record.level().as_str().to_ascii_lowercase();
--- a/src/main.rs
+++ b/src/main.rs
@@ -6,7 +6,7 @@
 use gypsumkeel::cli::{self, Command, Input};
 use gypsumkeel::client::{status, submit};
 use gypsumkeel::exit::{self, Exit};
-use gypsumkeel::settings::{Level, Log, Settings};
+use gypsumkeel::settings::{Log, Settings};
 use gypsumkeel::{check, configure, logs, platform, serve};
 
 fn main() -> Exit {
@@ -21,7 +21,7 @@
         Command::Help(topic) => exit::print(topic.text()),
         Command::Version => exit::print(concat!("gypsumkeel ", env!("CARGO_PKG_VERSION"), "\n")),
         Command::Serve { settings } => run_vm(&settings),
-        Command::Platform => run_on_platform(),
+        Command::Platform(words) => run_on_platform(words),
         Command::Dev { targets } => run_logged(&Log::default(), || serve::dev(targets)),
         Command::Check { file } => check::run(&file),
         Command::Submit(words) => submit::run(&words),
@@ -46,8 +46,8 @@
     }
 }
 
-fn run_on_platform() -> Exit {
-    if let Err(error) = logs::start_on_output(Level::Info) {
+fn run_on_platform(words: cli::Platform) -> Exit {
+    if let Err(error) = logs::start_on_output(words.log_level, words.log_lines) {
         return Exit::Failed.because(error);
     }
     match platform::run() {
--- a/src/platform/front.rs
+++ b/src/platform/front.rs
@@ -106,7 +106,7 @@
     let outcome = node.submit(spec, Wait { since, until: since + patience }).await;
     let took = node.now() - since;
     event!(
-        info,
+        at outcome.log_level(),
         "batch-end",
         job = id,
         queue = route.name,
@@ -140,7 +140,7 @@
 
 /// Refuses a job of which nothing was started.
 fn refuse(status: StatusCode, reason: &str, id: &str, retry_after: Millis) -> Response {
-    event!(info, "refused", job = id, reason = reason, retry_ms = retry_after.0);
+    event!(warn, "refused", job = id, reason = reason, retry_ms = retry_after.0);
     let mut response = state(status, "refused");
     response.insert_header("Retry-After", retry_after.0.div_ceil(1000).max(1).to_string());
     response
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -208,6 +208,8 @@
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Level {
+    /// Nothing is written.
+    Off,
     /// Something broke.
     Error,
     /// Something needs a look.
--- a/src/vm/core.rs
+++ b/src/vm/core.rs
@@ -136,7 +136,7 @@
         let waited = waited.map_or_else(|| "never".to_owned(), |waited| waited.0.to_string());
         let took = self.clock.now() - caller.since;
         event!(
-            info,
+            at outcome.log_level(),
             "batch-run",
             job = caller.id,
             outcome = outcome,
--- a/tests/logs.rs
+++ b/tests/logs.rs
@@ -4,7 +4,7 @@
 use std::io::{BufRead as _, BufReader};
 use std::process::{Command, Stdio};
 
-use gypsumkeel::logs::Pairs;
+use gypsumkeel::logs::{Budget, Kind, Pairs};
 use rustix::process::{Pid, Signal, kill_process};
 
 #[test]
@@ -41,3 +41,34 @@
     let status = child.wait().expect("the program ends");
     assert!(status.success(), "{status}");
 }
+
+#[test]
+fn usual_lines_displace_no_severe_ones() {
+    let mut budget = Budget::new(10);
+    let usual = (0..1000).filter(|_| budget.admits(7, Kind::Usual)).count();
+    let severe = (0..1000).filter(|_| budget.admits(7, Kind::Severe)).count();
+    assert_eq!((usual, severe), (10, 10));
+    assert!(budget.admits(8, Kind::Usual), "a new second has a budget of its own");
+}
+
+#[test]
+fn lines_left_out_are_counted_by_event() {
+    let mut budget = Budget::new(0);
+    for event in ["refused", "batch-end", "refused"] {
+        budget.omit(event);
+    }
+    let omitted = budget.take_omitted().into_iter().collect::<Vec<_>>();
+    assert_eq!(omitted, [("batch-end".to_owned(), 1), ("refused".to_owned(), 2)]);
+    assert!(budget.take_omitted().is_empty(), "they are told once");
+}
+
+#[test]
+fn a_level_that_is_none_is_refused_with_those_that_are() {
+    let output = Command::new(env!("CARGO_BIN_EXE_gypsumkeel"))
+        .args(["platform", "--log-level", "loud"])
+        .output()
+        .expect("the program starts");
+    let text = String::from_utf8_lossy(&output.stderr);
+    assert_eq!(output.status.code(), Some(2), "{text}");
+    assert!(text.contains("off, error, warn, info, debug or trace"), "{text}");
+}
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -243,6 +243,6 @@
     env.vms[0].is_unread.store(false, Ordering::Relaxed);
     wait_until("omissions are told", || {
         drop(env.submit(0, 1 << 41, 1, 1));
-        env.vms[0].said(&["event=lines-omitted count="])
+        env.vms[0].said(&["event=lines-omitted of=refused count="])
     });
 }
