Show owners, load and ages of a VM on the platform in status

Cause: who owns a target, how busy its owner is and how old that knowledge is could be learnt from the log alone. Change: the metrics address answers /v1/status too, and status prints it; each VM keeps when another told its load, and when routes and targets were read. Test: real processes, owners and ages of all VMs, and the command's output.

--- a/src/client/status.rs
+++ b/src/client/status.rs
@@ -51,11 +51,18 @@
     text
 }
 
-/// A value in one line, fields as key=value.
+/// A value in one line, fields as key=value, and fields of fields as key.key=value.
 fn flat(value: &Value) -> String {
     match value {
         Value::Object(fields) => {
-            let pairs = fields.iter().map(|(name, value)| format!("{name}={}", flat(value)));
+            let pairs = fields.iter().map(|(name, value)| match value {
+                Value::Object(_) => {
+                    let inner = flat(value);
+                    let inner = inner.split(' ').map(|pair| format!("{name}.{pair}"));
+                    inner.collect::<Vec<_>>().join(" ")
+                }
+                value => format!("{name}={}", flat(value)),
+            });
             pairs.collect::<Vec<_>>().join(" ")
         }
         Value::String(text) => text.clone(),
--- a/src/platform/front.rs
+++ b/src/platform/front.rs
@@ -25,6 +25,9 @@
 /// The largest body before the routes are known, in bytes.
 const BODY_MAX: u64 = 256 << 10;
 
+/// Where `gypsumkeel status` asks, as on any other entry VM.
+const STATUS_PATH: &str = "/v1/status";
+
 type Answering = Pin<Box<dyn Future<Output = Response> + Send>>;
 
 /// Answers callers.
@@ -179,15 +182,18 @@
     }
 }
 
-/// Tells what is counted, as text.
+/// Tells operators what is counted, as text, and how this VM is.
 #[derive(Debug)]
 pub struct Metrics {
     pub node: Arc<Node>,
 }
 
 impl Handler for Metrics {
-    fn answer(self: Arc<Self>, _request: Request) -> Answering {
+    fn answer(self: Arc<Self>, request: Request) -> Answering {
         Box::pin(async move {
+            if request.url().path() == STATUS_PATH {
+                return json(StatusCode::Ok, &json!(self.node.status()));
+            }
             let mut response = Response::new(StatusCode::Ok);
             response.set_body(self.node.metrics_text());
             response
--- a/src/vm/core.rs
+++ b/src/vm/core.rs
@@ -10,15 +10,16 @@
 use crate::event;
 use crate::job::Incarnation;
 use crate::ownership::Ownership;
-use crate::schedule::{Account, Action, Engine, Event, JobId, Load};
+use crate::schedule::{Account, Action, Engine, Event, JobId};
+use crate::wire::Busy;
 
 /// The state that decisions are made on.
 #[derive(Debug)]
 pub(super) struct Core {
     pub engine: Engine,
     pub ownership: Ownership,
-    /// What the other VMs said of their load.
-    pub loads: BTreeMap<Incarnation, Load>,
+    /// What the other VMs said last of their load.
+    pub said: BTreeMap<Incarnation, Said>,
     /// The highest round that any VM has named.
     pub round: u64,
     waiting: HashMap<JobId, Waiter>,
@@ -28,6 +29,13 @@
     clock: Clock,
 }
 
+/// What a VM said of its load, and when that came.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Said {
+    pub busy: Busy,
+    pub at: Millis,
+}
+
 /// Who waits for a batch.
 #[derive(Debug)]
 struct Waiter {
@@ -55,7 +63,7 @@
         Self {
             engine,
             ownership,
-            loads: BTreeMap::new(),
+            said: BTreeMap::new(),
             round: 0,
             waiting: HashMap::new(),
             passed_on: HashMap::new(),
--- a/src/vm/follow.rs
+++ b/src/vm/follow.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use smol::Timer;
 
@@ -124,6 +125,7 @@
         );
         self.routes_text.store(Arc::new(text.to_vec()));
         self.routes.store(Arc::new(table));
+        self.routes_since.store(self.now().0, Ordering::Relaxed);
         self.metrics.set(Gauge::RoutesVersion, version);
     }
 
--- a/src/vm/mod.rs
+++ b/src/vm/mod.rs
@@ -10,10 +10,12 @@
 mod node;
 mod peers;
 mod start;
+mod status;
 mod stop;
 mod submit;
 
 pub use adapter::{Adapter, Calling, Runner, Site};
 pub use node::{Node, Settings};
 pub use start::{Error, Fronts, run};
+pub use status::Status;
 pub use submit::Wait;
--- a/src/vm/node.rs
+++ b/src/vm/node.rs
@@ -88,6 +88,10 @@
     /// The racks' failure domains, the targets' too.
     pub(super) places: ArcSwap<Places>,
     pub(super) routes: ArcSwap<Table>,
+    /// When the routes came into force, in milliseconds of the clock.
+    pub(super) routes_since: AtomicU64,
+    /// When the list of targets was read last, in milliseconds of the clock.
+    pub(super) targets_since: AtomicU64,
     /// The text that the routes were read from.
     pub(super) routes_text: ArcSwap<Vec<u8>>,
     /// Addresses of VMs at which nothing listens.
@@ -145,6 +149,8 @@
             runners: Mutex::default(),
             places: ArcSwap::default(),
             routes: ArcSwap::default(),
+            routes_since: AtomicU64::new(0),
+            targets_since: AtomicU64::new(0),
             routes_text: ArcSwap::default(),
             refused: Mutex::default(),
             abandoned: Mutex::default(),
@@ -301,6 +307,7 @@
             }
         }
         self.places.store(Arc::new(places));
+        self.targets_since.store(self.now().0, Ordering::Relaxed);
         let listings = sites.into_iter().map(|site| site.listing).collect();
         self.with_core(|core, now, work| {
             core.ownership.set_targets(owned_places);
--- a/src/vm/peers.rs
+++ b/src/vm/peers.rs
@@ -11,6 +11,7 @@
 use crate::runtime;
 use crate::wire::{Busy, Call, Note, Owns, Reply};
 
+use super::core::Said;
 use super::node::Node;
 
 impl Handler for Node {
@@ -73,7 +74,7 @@
         // The VM that passed the batches on counts on their end: it runs them anew after a while.
         let jobs = {
             let mut core = self.lock();
-            core.loads.remove(&from);
+            core.said.remove(&from);
             core.passed_on_by(from)
         };
         if !jobs.is_empty() {
@@ -117,8 +118,9 @@
     }
 
     fn take_busy(self: &Arc<Self>, from: Incarnation, busy: Busy) {
-        let had_room =
-            self.lock().loads.insert(from, busy.load).is_some_and(|old| old.total_cpu > 0);
+        let said = Said { busy, at: self.now() };
+        let old = self.lock().said.insert(from, said);
+        let had_room = old.is_some_and(|old| old.busy.load.total_cpu > 0);
         if !had_room && busy.load.total_cpu > 0 {
             self.owners_changed.notify(usize::MAX);
         }
--- a/src/vm/submit.rs
+++ b/src/vm/submit.rs
@@ -160,9 +160,10 @@
             else {
                 continue;
             };
-            let Some(&load) = core.loads.get(&vm).filter(|load| load.total_cpu > 0) else {
+            let Some(load) = core.said.get(&vm).map(|said| said.busy.load) else { continue };
+            if load.total_cpu == 0 {
                 continue;
-            };
+            }
             let is_near = match near {
                 Some(targets) => targets.iter().any(|target| owns.contains(target)),
                 None => *peer.domain == *self.settings.domain,
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -3,6 +3,7 @@
 #[path = "platform/mod.rs"]
 mod platform;
 
+use std::process::Command;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
@@ -246,3 +247,35 @@
         env.vms[0].said(&["event=lines-omitted of=refused count="])
     });
 }
+
+/// Operators see who owns what without reading the log.
+#[test]
+fn status_shows_owners_load_and_ages() {
+    let env = Env::start(2, 3);
+    wait_until("every target has an owner", || {
+        let status = env.status(0);
+        let targets = status["targets"].as_array().unwrap();
+        targets.len() == 6 && targets.iter().all(|target| target["owner"].is_string())
+    });
+    let status = env.status(0);
+    let peers = status["peers"].as_array().unwrap();
+    assert_eq!(peers.len(), 3, "{status}");
+    assert!(
+        peers.iter().all(|peer| peer["linked"] == true && peer["said"]["age"].is_u64()),
+        "{status}"
+    );
+    let owned = peers.iter().map(|peer| peer["targets"].as_u64().unwrap()).sum::<u64>();
+    let own = status["targets"].as_array().unwrap();
+    let own = own.iter().filter(|target| target["owner"] == status["vm"]).count() as u64;
+    assert_eq!(owned + own, 6, "{status}");
+    assert_eq!(status["routes"]["version"], 1, "{status}");
+    let output = Command::new(env!("CARGO_BIN_EXE_gypsumkeel"))
+        .args(["status", "--entry", &format!("http://{}:9100", env.vms[0].ip)])
+        .output()
+        .expect("the program starts");
+    let text = String::from_utf8_lossy(&output.stdout);
+    assert!(
+        output.status.success() && text.contains("owner=") && text.contains("said.age="),
+        "{text}"
+    );
+}
--- a/tests/platform/mod.rs
+++ b/tests/platform/mod.rs
@@ -202,6 +202,13 @@
         self.ask(index, 8167, &question).is_some_and(|(status, ..)| status == 200)
     }
 
+    /// How a VM says that it is.
+    pub fn status(&self, index: usize) -> Value {
+        let question = Question::get("/v1/status", Millis(1000));
+        let body = self.ask(index, 9100, &question).expect("a status").1;
+        serde_json::from_str(&body).expect("a status in JSON")
+    }
+
     /// The metrics of a VM.
     pub fn metrics(&self, index: usize) -> String {
         let question = Question::get("/metrics", Millis(1000));
