Refuse, not expire, what never started when its caller's time is up

Cause: after a refusal by one owner the next look at the clock ended the batch as expired (504) although none of its tasks was ever sent. Ruled out: a start that was sent (starts=0 on all owners). Change: the caller is refused with Retry-After and may come back at once, as nothing of it ran; only a batch that has started expires.

--- a/src/vm/submit.rs
+++ b/src/vm/submit.rs
@@ -85,7 +85,7 @@
         let mut refused = None;
         loop {
             if self.now() >= wait.until {
-                return Outcome::Expired;
+                break;
             }
             let Some(owner) = self.find_owner(spec, &tried, wait).await else { break };
             let outcome = match owner {
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -5,6 +5,7 @@
 
 use std::process::Command;
 use std::sync::atomic::Ordering;
+use std::thread;
 use std::time::{Duration, Instant};
 
 use gypsumkeel::clock::Millis;
@@ -279,3 +280,25 @@
         "{text}"
     );
 }
+
+/// A batch whose caller's time ran out while it waited was not run, and its caller is told so.
+#[test]
+fn a_batch_that_never_started_is_refused_not_expired() {
+    let env = Env::start(1, 1);
+    thread::scope(|scope| {
+        for vm in 0..2 {
+            scope.spawn({
+                let env = &env;
+                move || env.submit(vm, 1 + vm as u64, 2, 1500)
+            });
+        }
+        wait_until("all room is taken", || {
+            (0..2).all(|vm| env.status(vm)["load"]["free_cpu"].as_u64() < Some(7000))
+        });
+        let body = json!({ "spec": "7000 1", "bestEffort": true,
+            "steps": [{ "count": 1, "cpu": 7000, "memMb": 64, "estMs": 1 }] });
+        let reply = env.post_with_deadline(0, 9, &body, Millis(3000), Millis(60));
+        let reply = reply.expect("an answer");
+        assert_eq!((reply.status, reply.retry_after), (503, true), "{reply:?}");
+    });
+}
--- a/tests/platform/mod.rs
+++ b/tests/platform/mod.rs
@@ -231,9 +231,22 @@
 
     /// Submits a body, and leaves after `patience`.
     pub fn post(&self, index: usize, id: u64, body: &Value, patience: Millis) -> Option<Reply> {
+        self.post_with_deadline(index, id, body, patience, Millis(15_000))
+    }
+
+    /// Submits a body whose caller names a deadline, and leaves after `patience`.
+    pub fn post_with_deadline(
+        &self,
+        index: usize,
+        id: u64,
+        body: &Value,
+        patience: Millis,
+        deadline: Millis,
+    ) -> Option<Reply> {
         let body = body.to_string();
+        let deadline = deadline.0.to_string();
         let headers =
-            [("Host", HOST), ("Deadline-Ms", "15000"), ("Content-Type", "application/json")];
+            [("Host", HOST), ("Deadline-Ms", &deadline), ("Content-Type", "application/json")];
         let path = format!("{PREFIX}{id:016x}");
         let question = Question {
             method: Method::Post,
