Log which target failed a task or let it stand still, and for how long it rests

Change: the scheduler tells of each failed and each stalled task with its target and the rest that follows (task-failed, task-stalled). Test: the tests of failing and of hanging targets check what is told of whom; new code, not shown failing by a patch.

--- a/src/platform/worker.rs
+++ b/src/platform/worker.rs
@@ -133,7 +133,10 @@
                     Hold { fence: fence.number(), seen_upto: seen, until_ms: until, wait_ms };
                 hold_reply(self.post("/api/hold", &body, wait + HOLD_SLACK).await)
             }
-            Action::End { .. } | Action::Owned { .. } | Action::Left { .. } => Reply::Unsent,
+            Action::Distrust { .. }
+            | Action::End { .. }
+            | Action::Owned { .. }
+            | Action::Left { .. } => Reply::Unsent,
         }
     }
 }
--- a/src/schedule/event.rs
+++ b/src/schedule/event.rs
@@ -239,6 +239,19 @@
         /// How long the answer waits for an end.
         wait: Millis,
     },
+    /// A task has failed or stands still, and its target gets fewer tasks, or none for a while. For the log only.
+    Distrust {
+        /// The target.
+        target: Arc<str>,
+        /// The task.
+        name: Name,
+        /// Which start of it.
+        run: u32,
+        /// What happened.
+        trouble: Trouble,
+        /// How long the target gets no tasks.
+        rest: Millis,
+    },
     /// A batch has ended.
     End {
         /// The batch.
@@ -262,6 +275,15 @@
     },
 }
 
+/// What may be a target's fault.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Trouble {
+    /// A task failed.
+    Failed,
+    /// A task stands still.
+    Stalled,
+}
+
 /// What a batch took, for the line in the log that explains its end.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Account {
--- a/src/schedule/mod.rs
+++ b/src/schedule/mod.rs
@@ -18,6 +18,6 @@
 pub use engine::Engine;
 pub use event::{
     Account, Action, Denial, Ended, Ending, Event, HoldAnswer, JobId, Listing, Load, OrderAnswer,
-    OrderId, Reply, Rules, Running,
+    OrderId, Reply, Rules, Running, Trouble,
 };
 pub use fence::Fence;
--- a/src/schedule/order.rs
+++ b/src/schedule/order.rs
@@ -6,7 +6,7 @@
 use crate::clock::Millis;
 
 use super::engine::{Engine, scaled};
-use super::event::{Action, Denial, Ending, JobId, OrderId, Reply};
+use super::event::{Action, Denial, Ending, JobId, OrderId, Reply, Trouble};
 use super::fence::Fence;
 use super::speed::Sample;
 use super::stall::Progress;
@@ -286,6 +286,7 @@
             Ending::Done => self.task_done(now, number, &run, actions),
             Ending::Failed => {
                 self.targets[number].health.fail(now, run.job);
+                self.distrust(now, number, (&run.name, run.attempt), Trouble::Failed, actions);
                 self.fail_task(now, run.job, run.task, number, actions);
             }
             Ending::Cut => self.put_back(now, &run),
@@ -310,6 +311,25 @@
         }
     }
 
+    /// Tells of a task that may have found its target at fault.
+    pub(super) fn distrust(
+        &self,
+        now: Millis,
+        number: usize,
+        (name, run): (&Name, u32),
+        trouble: Trouble,
+        actions: &mut Vec<Action>,
+    ) {
+        let target = &self.targets[number];
+        actions.push(Action::Distrust {
+            target: Arc::clone(&target.listing.id),
+            name: name.clone(),
+            run,
+            trouble,
+            rest: target.health.rest_left(now),
+        });
+    }
+
     /// Notes that a task has failed; after its last attempt its batch has failed.
     fn fail_task(
         &mut self,
--- a/src/schedule/stall.rs
+++ b/src/schedule/stall.rs
@@ -3,7 +3,7 @@
 use crate::clock::Millis;
 
 use super::engine::{Engine, scaled};
-use super::event::{Action, Running};
+use super::event::{Action, Running, Trouble};
 use super::target::{Phase, Run, State, Target};
 
 /// A task that will last this many times what is expected shows that its target has turned slow. Declared
@@ -57,6 +57,7 @@
         }
         self.targets[number].health.stall(now);
         for (name, run) in stalled {
+            self.distrust(now, number, (&name, run), Trouble::Stalled, actions);
             self.stop(number, &name, run, actions);
         }
     }
--- a/src/schedule/target.rs
+++ b/src/schedule/target.rs
@@ -223,6 +223,11 @@
         }
     }
 
+    /// How long it gets nothing.
+    pub fn rest_left(&self, now: Millis) -> Millis {
+        self.rests_until - now
+    }
+
     /// It can't be reached, or says that it is not well.
     pub fn unwell(&mut self, now: Millis) {
         self.on_probation = true;
--- a/src/vm/core.rs
+++ b/src/vm/core.rs
@@ -10,7 +10,7 @@
 use crate::event;
 use crate::job::Incarnation;
 use crate::ownership::Ownership;
-use crate::schedule::{Account, Action, Engine, Event, JobId};
+use crate::schedule::{Account, Action, Engine, Event, JobId, Trouble};
 use crate::wire::Busy;
 
 /// The state that decisions are made on.
@@ -79,6 +79,21 @@
         for action in actions {
             match action {
                 Action::End { job, outcome, account } => self.finish(job, outcome, &account),
+                Action::Distrust { target, name, run, trouble, rest } => {
+                    let event = match trouble {
+                        Trouble::Failed => "task-failed",
+                        Trouble::Stalled => "task-stalled",
+                    };
+                    event!(
+                        warn,
+                        event,
+                        job = name.job,
+                        task = name,
+                        run = run,
+                        target = target,
+                        rest_ms = rest.0
+                    );
+                }
                 Action::Owned { target } => {
                     self.ownership.gain(&target);
                     work.owns_changed = true;
--- a/src/vm/node.rs
+++ b/src/vm/node.rs
@@ -263,7 +263,10 @@
                 self.metrics.count(Counter::LeasedHolds);
                 (*order, target)
             }
-            Action::End { .. } | Action::Owned { .. } | Action::Left { .. } => return,
+            Action::Distrust { .. }
+            | Action::End { .. }
+            | Action::Owned { .. }
+            | Action::Left { .. } => return,
         };
         let runners = self.runners.lock().unwrap_or_else(PoisonError::into_inner);
         let Some(reached) = runners.get(target) else { return };
--- a/tests/schedule.rs
+++ b/tests/schedule.rs
@@ -10,7 +10,7 @@
 
 use fastrand::Rng;
 use gypsumkeel::batch::{Outcome, Refusal};
-use gypsumkeel::schedule::Event;
+use gypsumkeel::schedule::{Event, Trouble};
 use model::{Fault, LEASE, Model, listing, spec};
 
 const SEED: u64 = 11;
@@ -87,6 +87,8 @@
     model.run(15_000);
     assert!((1..=200).all(|job| model.outcome(job) == Some(&Outcome::Done)));
     assert!(model.servers[0].starts < 12, "{} starts", model.servers[0].starts);
+    let told = model.distrusted.iter().all(|(id, why)| &**id == "t0" && *why == Trouble::Failed);
+    assert!(told && !model.distrusted.is_empty(), "{:?}", model.distrusted);
 }
 
 #[test]
@@ -100,6 +102,8 @@
     let slowest = model.got.values().map(|got| got.at).max();
     assert!((1..=20).all(|job| model.outcome(job) == Some(&Outcome::Done)));
     assert!(slowest < Some(2500), "{:?}", model.got);
+    let told = model.distrusted.iter().all(|(id, why)| &**id == "t0" && *why == Trouble::Stalled);
+    assert!(told && !model.distrusted.is_empty(), "{:?}", model.distrusted);
 }
 
 #[test]
--- a/tests/schedule/model.rs
+++ b/tests/schedule/model.rs
@@ -10,7 +10,7 @@
 use gypsumkeel::clock::Millis;
 use gypsumkeel::schedule::{
     Action, Denial, Ended, Ending, Engine, Event, HoldAnswer, Listing, OrderAnswer, OrderId, Reply,
-    Rules, Running,
+    Rules, Running, Trouble,
 };
 
 /// One way of a message, in milliseconds.
@@ -98,6 +98,7 @@
     /// The batches that ended, by engine and number, until someone takes them out.
     pub ended: Vec<(usize, u64)>,
     pub owned: Vec<(usize, Arc<str>)>,
+    pub distrusted: Vec<(Arc<str>, Trouble)>,
     pub left: Vec<(usize, Arc<str>, bool)>,
     /// Engines that stand still: nothing reaches them until they go on.
     pub frozen: Vec<bool>,
@@ -175,6 +176,7 @@
             got: BTreeMap::new(),
             ended: Vec::new(),
             owned: Vec::new(),
+            distrusted: Vec::new(),
             left: Vec::new(),
             frozen: vec![false; engines],
             cuts: Vec::new(),
@@ -343,6 +345,7 @@
                     let old = self.got.insert((engine, job), got);
                     assert!(old.is_none(), "batch {job} ended twice: {old:?}");
                 }
+                Action::Distrust { target, trouble, .. } => self.distrusted.push((target, trouble)),
                 Action::Owned { target } => self.owned.push((engine, target)),
                 Action::Left { target, fenced } => self.left.push((engine, target, fenced)),
                 call => {
