--- a/src/peer/links.rs
+++ b/src/peer/links.rs
@@ -1,6 +1,6 @@
 //! All links of a VM: dialling, heartbeats, and what comes in on links that others dialled.
 
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, HashMap};
 use std::fmt;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -82,7 +82,8 @@
     own: Hello,
     rules: Rules,
     up: ArcSwap<BTreeMap<Incarnation, Arc<Link>>>,
-    dialled: Mutex<HashSet<SocketAddr>>,
+    /// The addresses that are dialled. An event ends the pause before the next dial of its address.
+    dialled: Mutex<HashMap<SocketAddr, Arc<Event>>>,
     changed: Event,
     volume: Arc<Volume>,
     /// Answers not yet sent, by link that another VM dialled.
@@ -151,12 +152,22 @@
     /// Dials an address, and keeps a link to it, unless that is being done already.
     pub fn know(self: &Arc<Self>, address: SocketAddr, handler: &Arc<dyn Handler>) {
         let mut dialled = self.dialled.lock().unwrap_or_else(PoisonError::into_inner);
-        if address == self.own.peers || !dialled.insert(address) {
+        if address == self.own.peers || dialled.contains_key(&address) {
             return;
         }
+        let hurry = Arc::new(Event::new());
+        dialled.insert(address, Arc::clone(&hurry));
         let links = Arc::clone(self);
         let handler = Arc::clone(handler);
-        runtime::spawn(async move { links.keep(address, &handler).await }).detach();
+        runtime::spawn(async move { links.keep(address, &hurry, &handler).await }).detach();
+    }
+
+    /// Dials an address at once if it waits for its next dial: a VM answers there again.
+    fn hurry(&self, address: SocketAddr) {
+        let dialled = self.dialled.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(hurry) = dialled.get(&address) {
+            hurry.notify(usize::MAX);
+        }
     }
 
     /// Accepts the connections that other VMs dial, for ever.
@@ -190,6 +201,7 @@
         sink.send(&Frame::Hello(self.own.clone())).await?;
         let hello = within(self.rules.patience, receive_hello(&mut source)).await?;
         self.know(hello.peers, handler);
+        self.hurry(hello.peers);
         let (queue, frames) = channel::bounded(REPLIES_MAX);
         let owed = Arc::new(AtomicUsize::new(0));
         self.owed.lock().unwrap_or_else(PoisonError::into_inner).push(Arc::downgrade(&owed));
@@ -205,10 +217,11 @@
     }
 
     /// Dials again and again; ends when the address is given up.
-    async fn keep(self: Arc<Self>, address: SocketAddr, handler: &Arc<dyn Handler>) {
+    async fn keep(self: Arc<Self>, address: SocketAddr, hurry: &Event, handler: &Arc<dyn Handler>) {
         let mut pause = REDIAL_MIN;
         let mut failures = 0;
         while failures < DIALS_MAX || handler.expects(address) {
+            let hurried = hurry.listen();
             match self.dial(address, handler).await {
                 Ok(Ended::Own) => return,
                 Ok(Ended::Cut(why)) => {
@@ -225,7 +238,10 @@
                 }
             }
             let jitter = fastrand::u64(0..=pause.0 / 2);
-            Timer::after((pause + Millis(jitter)).duration()).await;
+            let waited = async {
+                Timer::after((pause + Millis(jitter)).duration()).await;
+            };
+            hurried.or(waited).await;
             pause = (pause * 2).min(REDIAL_MAX);
         }
         self.dialled.lock().unwrap_or_else(PoisonError::into_inner).remove(&address);
--- a/src/vm/submit.rs
+++ b/src/vm/submit.rs
@@ -87,7 +87,8 @@
             if self.now() >= wait.until {
                 break;
             }
-            let Some(owner) = self.find_owner(spec, &tried, wait).await else { break };
+            let may_wait = refused.is_none();
+            let Some(owner) = self.find_owner(spec, &tried, wait, may_wait).await else { break };
             let outcome = match owner {
                 Owner::Own => self.run_here(spec, wait).await,
                 Owner::Peer(vm) => self.run_there(vm, spec, wait).await,
@@ -111,15 +112,21 @@
         if has_started { Outcome::Expired } else { refused.unwrap_or(unowned) }
     }
 
-    /// The owner for a batch. Where none is known yet, waits a little for one.
-    async fn find_owner(&self, spec: &Spec, tried: &BTreeSet<Owner>, wait: Wait) -> Option<Owner> {
+    /// The owner for a batch. Where none is known, waits a little for one if it may.
+    async fn find_owner(
+        &self,
+        spec: &Spec,
+        tried: &BTreeSet<Owner>,
+        wait: Wait,
+        may_wait: bool,
+    ) -> Option<Owner> {
         let find = async {
             loop {
                 let changed = self.owners_changed.listen();
                 if let Some(owner) = self.choose_owner(spec, tried) {
                     return Some(owner);
                 }
-                if !tried.is_empty() {
+                if !may_wait {
                     return None;
                 }
                 changed.await;
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -109,6 +109,20 @@
     env.check();
 }
 
+/// Whoever calls a VM just after it woke is served by those that took over meanwhile.
+#[test]
+fn a_vm_that_wakes_knows_the_owners_at_once() {
+    let env = Env::start(2, 2);
+    let owner = owner(&env);
+    env.vms[owner].signal(Signal::STOP);
+    thread::sleep(Duration::from_secs(4));
+    env.vms[owner].signal(Signal::CONT);
+    thread::sleep(Duration::from_millis(100));
+    let replies = (0..10).map(|id| env.submit(owner, 1 << 40 | id, 2, 20)).collect::<Vec<_>>();
+    assert!(are_done(&replies), "{replies:?}");
+    env.check();
+}
+
 #[test]
 fn a_stop_cuts_no_request() {
     let env = Env::start(2, 2);
