--- a/src/batch/outcome.rs
+++ b/src/batch/outcome.rs
@@ -33,8 +33,6 @@
 pub enum Refusal {
     /// What waits ahead of it leaves too little time.
     Overload,
-    /// No target that is in use could ever run one of its tasks.
-    Misfit,
     /// No target is held by any VM in reach.
     Unowned,
     /// The VM is being stopped and may not see its end.
@@ -55,7 +53,6 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Self::Overload => "overload",
-            Self::Misfit => "misfit",
             Self::Unowned => "unowned",
             Self::Stopping => "stopping",
         })
--- a/src/vm/core.rs
+++ b/src/vm/core.rs
@@ -80,18 +80,16 @@
             match action {
                 Action::End { job, outcome, account } => self.finish(job, outcome, &account),
                 Action::Distrust { target, name, run, trouble, rest } => {
-                    let event = match trouble {
-                        Trouble::Failed => "task-failed",
-                        Trouble::Stalled => "task-stalled",
-                    };
+                    let event = event_of(trouble);
+                    let (job, rest_ms) = (&name.job, rest.0);
                     event!(
                         warn,
                         event,
-                        job = name.job,
+                        job = job,
                         task = name,
                         run = run,
                         target = target,
-                        rest_ms = rest.0
+                        rest_ms = rest_ms
                     );
                 }
                 Action::Owned { target } => {
@@ -174,3 +172,10 @@
         drop(caller.sender.try_send(outcome));
     }
 }
+
+const fn event_of(trouble: Trouble) -> &'static str {
+    match trouble {
+        Trouble::Failed => "task-failed",
+        Trouble::Stalled => "task-stalled",
+    }
+}
--- a/src/vm/status.rs
+++ b/src/vm/status.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 use serde::Serialize;
 
@@ -74,8 +74,7 @@
     /// How this VM is.
     pub fn status(&self) -> Status {
         let (now, routes) = (self.now(), self.routes());
-        let age =
-            |since: &std::sync::atomic::AtomicU64| now - Millis(since.load(Ordering::Relaxed));
+        let age = |since: &AtomicU64| now - Millis(since.load(Ordering::Relaxed));
         let core = self.lock();
         Status {
             vm: self.settings.vm.clone(),
--- a/tests/schedule/load/day.rs
+++ b/tests/schedule/load/day.rs
@@ -145,6 +145,10 @@
     target / PER_DOMAIN
 }
 
+pub const fn domain_of_rack(rack: usize) -> usize {
+    domain_of(rack * PER_RACK)
+}
+
 pub const fn rack_of(target: usize) -> usize {
     target / PER_RACK
 }
--- a/tests/schedule/load/mod.rs
+++ b/tests/schedule/load/mod.rs
@@ -127,10 +127,8 @@
             let is_own = engine == came_to;
             let load =
                 if is_own { self.model.engines[engine].load(now) } else { self.told[engine] };
-            let home = job.rack.map_or(came_to, |rack| {
-                let domains = TARGETS / DOMAINS / 8;
-                rack / domains * engines / DOMAINS
-            });
+            let home =
+                job.rack.map_or(came_to, |rack| day::domain_of_rack(rack) * engines / DOMAINS);
             Candidate { vm: engine, load, is_near: engine == home }
         });
         let spec = spec(number, job);
