Show waits, room by state, late renewals, ages and omitted lines as metrics

Cause: an operator could not see from the metrics how long batches wait for their first start, why cores stand idle, whether leases are renewed late, what the store refuses, how old the configuration is, or how many log lines are missing. The histogram is hdrhistogram's in place of a home-made one; quantiles are exact to two digits, before to an eighth. A test of `status` compared two readings: 1 of 60 runs failed while two VMs that had just started took targets from each other. It now waits for one reading that agrees; 60 of 60.

--- a/src/logs/mod.rs
+++ b/src/logs/mod.rs
@@ -12,7 +12,7 @@
 use log::{LevelFilter, Record};
 
 pub use self::budget::{Budget, Kind};
-pub use self::output::{LINES_PER_SECOND, start_on_output};
+pub use self::output::{LINES_PER_SECOND, omitted, start_on_output};
 use crate::settings::{Level, Log};
 
 /// Logs one event: a level, its name, and its pairs. A level that is only known at run time stands after `at`.
--- a/src/logs/output.rs
+++ b/src/logs/output.rs
@@ -1,6 +1,7 @@
 //! Logs on standard output that never wait for who reads them.
 
 use std::io::{self, Write as _};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{self, Receiver};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
@@ -16,6 +17,9 @@
 /// times those of a VM under the heaviest load of the users' days.
 pub const LINES_PER_SECOND: u64 = 200;
 
+/// How many lines the process has left out.
+static OMITTED: AtomicU64 = AtomicU64::new(0);
+
 /// Lines that may wait for standard output to take them.
 const LINES_MAX: usize = 2048;
 
@@ -30,6 +34,7 @@
         let kind = kind(record);
         let admitted = lock(&shared).admits(began.elapsed().as_secs(), kind);
         if !admitted || sender.try_send(line(record.args(), record)).is_err() {
+            OMITTED.fetch_add(1, Ordering::Relaxed);
             lock(&shared).omit(&event_of(record));
         }
     };
@@ -45,6 +50,11 @@
         .map_err(|_| Error::Twice)
 }
 
+/// How many lines the process has left out since its start.
+pub fn omitted() -> u64 {
+    OMITTED.load(Ordering::Relaxed)
+}
+
 fn write_all(lines: &Receiver<String>, budget: &Mutex<Budget>) -> io::Result<()> {
     let mut output = io::stdout();
     for line in lines {
--- a/src/metrics/histogram.rs
+++ b/src/metrics/histogram.rs
@@ -1,20 +1,20 @@
-//! A histogram that many threads add to without a lock.
+//! A histogram of times that many threads add to, emptied at each reading.
 
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Mutex, PoisonError};
+
+use hdrhistogram as hdr;
 
 use crate::clock::Millis;
 
-/// Steps within each power of two; a value is told apart to within an eighth.
-const STEPS: u64 = 8;
+/// The longest time that is told apart, about seven weeks; longer ones count as this.
+const LONGEST: Millis = Millis(1 << 32);
 
-/// The number of buckets: enough for 2^32 ms, about seven weeks.
-const BUCKETS: usize = 8 * 30;
+/// Significant decimal digits of a time.
+const DIGITS: u8 = 2;
 
 /// Counts of times by size.
 #[derive(Debug)]
-pub struct Histogram {
-    buckets: [AtomicU64; BUCKETS],
-}
+pub struct Histogram(Mutex<hdr::Histogram<u32>>);
 
 /// What a histogram held since the last reading.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -31,25 +31,28 @@
 
 impl Histogram {
     /// An empty histogram.
-    pub const fn new() -> Self {
-        Self { buckets: [const { AtomicU64::new(0) }; BUCKETS] }
+    pub fn new() -> Self {
+        let times = hdr::Histogram::new_with_max(LONGEST.0, DIGITS);
+        Self(Mutex::new(times.expect("the bounds of the histogram are valid")))
     }
 
     /// Adds one time.
     pub fn add(&self, time: Millis) {
-        self.buckets[bucket(time.0)].fetch_add(1, Ordering::Relaxed);
+        let mut times = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        times.saturating_record(time.0);
     }
 
     /// Empties the histogram and says what was in it.
     pub fn take(&self) -> Summary {
-        let counts = self.buckets.each_ref().map(|bucket| bucket.swap(0, Ordering::Relaxed));
-        let count = counts.iter().sum();
-        Summary {
-            count,
-            p50: Millis(quantile(&counts, count.div_ceil(2))),
-            p99: Millis(quantile(&counts, (count * 99).div_ceil(100))),
-            max: Millis(quantile(&counts, count)),
-        }
+        let mut times = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let summary = Summary {
+            count: times.len(),
+            p50: Millis(times.value_at_quantile(0.5)),
+            p99: Millis(times.value_at_quantile(0.99)),
+            max: Millis(times.max()),
+        };
+        times.reset();
+        summary
     }
 }
 
@@ -58,31 +61,3 @@
         Self::new()
     }
 }
-
-fn bucket(value: u64) -> usize {
-    if value < STEPS {
-        return value as usize;
-    }
-    let shift = u64::from(value.ilog2() - STEPS.ilog2());
-    let index = (shift + 1) * STEPS + (value >> shift) - STEPS;
-    (index as usize).min(BUCKETS - 1)
-}
-
-/// The largest value of a bucket.
-const fn upper(bucket: usize) -> u64 {
-    let bucket = bucket as u64;
-    if bucket < STEPS {
-        return bucket;
-    }
-    let shift = bucket / STEPS - 1;
-    ((bucket % STEPS + STEPS + 1) << shift) - 1
-}
-
-fn quantile(counts: &[u64; BUCKETS], rank: u64) -> u64 {
-    let mut seen = 0;
-    let found = counts.iter().position(|count| {
-        seen += count;
-        seen >= rank
-    });
-    if rank == 0 { 0 } else { found.map_or(0, upper) }
-}
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -34,7 +34,7 @@
         Self {
             counters: [const { AtomicU64::new(0) }; Counter::ALL.len()],
             gauges: [const { AtomicU64::new(0) }; Gauge::ALL.len()],
-            timers: [const { Histogram::new() }; Timer::ALL.len()],
+            timers: std::array::from_fn(|_| Histogram::new()),
         }
     }
 }
--- a/src/metrics/names.rs
+++ b/src/metrics/names.rs
@@ -72,6 +72,12 @@
         StoreWrites = "store.writes",
         /// Reads of the store that waited for a change.
         StoreWatches = "store.watches",
+        /// Calls to the store without an answer.
+        StoreUnanswered = "store.unanswered",
+        /// Calls that the store refused.
+        StoreRefused = "store.refused",
+        /// Log lines that were left out.
+        LinesOmitted = "logs.omitted",
         /// Versions of the configuration that came into force.
         ConfigApplied = "config.applied",
         /// Answers and news older than the version in force.
@@ -98,6 +104,10 @@
         LeasedLost = "leased.lost",
         /// Calls that leased targets refused.
         LeasedDenied = "leased.denied",
+        /// Renewals of leases that were sent late.
+        LeasesLate = "leases.late",
+        /// Tasks that were given up since their lease had lapsed.
+        LeasesLapsed = "leases.lapsed",
         /// Leased targets that this VM took over.
         TargetsTaken = "targets.taken",
         /// Leased targets that another VM took from this one.
@@ -134,8 +144,22 @@
         RoutesVersion = "routes.version",
         /// Leased targets that this VM owns.
         TargetsOwned = "targets.owned",
-        /// Thousandths of cores of the owned targets that are free.
+        /// Thousandths of cores of the owned, sound targets that are free.
         CpuFree = "targets.cpu_free",
+        /// Thousandths of cores of the owned targets that tasks have taken.
+        CpuUsed = "targets.cpu_used",
+        /// Thousandths of cores of owned targets that get nothing for a while.
+        CpuResting = "targets.cpu_resting",
+        /// Thousandths of cores of owned targets of which it is not known what runs there.
+        CpuUnclear = "targets.cpu_unclear",
+        /// Thousandths of cores of owned targets that leave.
+        CpuDraining = "targets.cpu_draining",
+        /// Milliseconds since the list of targets was read.
+        TargetsAge = "targets.age",
+        /// Milliseconds since the routes came into force.
+        RoutesAge = "routes.age",
+        /// Batches of which no task has started.
+        BatchesWaiting = "batches.waiting",
         /// Milliseconds that all owned targets together need for what waits.
         Backlog = "batches.backlog",
     }
@@ -150,5 +174,9 @@
         TaskTime = "tasks.time",
         /// From the arrival of a batch at this VM to its answer.
         Batch = "batches.time",
+        /// From the arrival of a batch at the owner of its targets to its first start.
+        Wait = "batches.wait",
+        /// From a start that is sent to a leased target to its answer.
+        Start = "leased.start_time",
     }
 }
--- a/src/platform/kv.rs
+++ b/src/platform/kv.rs
@@ -64,7 +64,9 @@
         let headers = [("Content-Type", "application/json")];
         let headers = if body.is_empty() { &headers[..0] } else { &headers[..] };
         let question = Question { method, path, headers, body, timeout: TIMEOUT + wait };
-        Ok(self.connections.ask(&question).await?)
+        let answer = self.connections.ask(&question).await;
+        self.counter.end(answer.as_ref().ok().map(|answer| answer.status));
+        Ok(answer?)
     }
 
     async fn read<T: DeserializeOwned>(&self, path: &str, wait: Millis) -> Result<T, Error> {
--- a/src/schedule/engine.rs
+++ b/src/schedule/engine.rs
@@ -8,6 +8,7 @@
 
 use super::attempts::Attempts;
 use super::batch::{Job, Times};
+use super::capacity::Leases;
 use super::event::{Account, Action, Event, JobId, Listing, Load, OrderId, Rules};
 use super::fence::Fence;
 use super::order::Order;
@@ -43,6 +44,7 @@
     /// Counts events, to tell what was sent before what.
     pub(super) turn: u64,
     draining: bool,
+    pub(super) leases: Leases,
     /// Whether anything has changed that may let a waiting task start.
     pub(super) changed: bool,
 }
@@ -63,6 +65,7 @@
             next_order: 1,
             turn: 0,
             draining: false,
+            leases: Leases::default(),
             changed: false,
         }
     }
@@ -133,6 +136,16 @@
         self.jobs.len()
     }
 
+    /// How many batches have not started.
+    pub fn waiting(&self) -> usize {
+        self.jobs.values().filter(|job| !job.started).count()
+    }
+
+    /// What became of the leases on the targets.
+    pub const fn leases(&self) -> Leases {
+        self.leases
+    }
+
     /// How many batches of `queue` have not started.
     pub fn pending(&self, queue: &str) -> usize {
         self.jobs.values().filter(|job| !job.started && &*job.spec.queue == queue).count()
--- a/src/schedule/hold.rs
+++ b/src/schedule/hold.rs
@@ -55,6 +55,8 @@
             let lapse = self.lapse(now);
             let target = &mut self.targets[number];
             if until.is_some() {
+                let is_late = target.lapse_by < now + Millis(self.rules.lease_max.0 / 2);
+                self.leases.late += u64::from(is_late && !target.runs.is_empty());
                 target.lapse_by = target.lapse_by.max(lapse);
             }
             let order = self.hold(number, until, wait, actions);
--- a/src/schedule/mod.rs
+++ b/src/schedule/mod.rs
@@ -5,6 +5,7 @@
 
 mod attempts;
 mod batch;
+mod capacity;
 mod engine;
 mod event;
 mod fence;
@@ -16,6 +17,7 @@
 mod stall;
 mod target;
 
+pub use capacity::{Capacity, Leases};
 pub use engine::Engine;
 pub use event::{
     Account, Action, Denial, Ended, Ending, Event, HoldAnswer, JobId, Listing, Load, OrderAnswer,
--- a/src/schedule/order.rs
+++ b/src/schedule/order.rs
@@ -400,6 +400,7 @@
             return;
         }
         target.health.unwell(now);
+        self.leases.lapsed += target.runs.len() as u64;
         self.drop_runs(now, number);
     }
 }
--- a/src/store/calls.rs
+++ b/src/store/calls.rs
@@ -13,6 +13,10 @@
     pub writes: u64,
     /// Reads that waited for a change.
     pub watches: u64,
+    /// Those of all that got no answer.
+    pub unanswered: u64,
+    /// Those of all that the store refused: it is out, or too many calls were made.
+    pub refused: u64,
 }
 
 impl Calls {
@@ -28,6 +32,8 @@
     reads: AtomicU64,
     writes: AtomicU64,
     watches: AtomicU64,
+    unanswered: AtomicU64,
+    refused: AtomicU64,
 }
 
 impl Counter {
@@ -46,12 +52,23 @@
         self.watches.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Counts how a call ended, by the status of its answer.
+    pub fn end(&self, status: Option<u16>) {
+        match status {
+            None => self.unanswered.fetch_add(1, Ordering::Relaxed),
+            Some(429 | 500..) => self.refused.fetch_add(1, Ordering::Relaxed),
+            Some(_) => 0,
+        };
+    }
+
     /// The counts so far.
     pub fn calls(&self) -> Calls {
         Calls {
             reads: self.reads.load(Ordering::Relaxed),
             writes: self.writes.load(Ordering::Relaxed),
             watches: self.watches.load(Ordering::Relaxed),
+            unanswered: self.unanswered.load(Ordering::Relaxed),
+            refused: self.refused.load(Ordering::Relaxed),
         }
     }
 }
--- a/src/store/consul.rs
+++ b/src/store/consul.rs
@@ -48,7 +48,9 @@
     ) -> Result<http::Answer, Error> {
         let timeout = self.timeout + wait;
         let question = Question { method, path, headers: &[], body, timeout };
-        Ok(self.connections.ask(&question).await?)
+        let answer = self.connections.ask(&question).await;
+        self.counter.end(answer.as_ref().ok().map(|answer| answer.status));
+        Ok(answer?)
     }
 
     async fn watch_path<T: DeserializeOwned>(
--- a/src/vm/core.rs
+++ b/src/vm/core.rs
@@ -50,6 +50,8 @@
 pub(super) struct Work {
     /// Calls to targets.
     pub calls: Vec<Action>,
+    /// How long batches that ended had waited for their first start.
+    pub waits: Vec<Millis>,
     /// Whether what this VM owns has changed.
     pub owns_changed: bool,
     /// Targets that were gained.
@@ -78,7 +80,10 @@
         self.engine.handle(now, event, &mut actions);
         for action in actions {
             match action {
-                Action::End { job, outcome, account } => self.finish(job, outcome, &account),
+                Action::End { job, outcome, account } => {
+                    work.waits.extend(account.waited);
+                    self.finish(job, outcome, &account);
+                }
                 Action::Distrust { target, name, run, trouble, rest } => {
                     let event = event_of(trouble);
                     let (job, rest_ms) = (&name.job, rest.0);
--- /dev/null
+++ b/src/vm/meter.rs
@@ -0,0 +1,68 @@
+//! What a VM counts, as the page of metrics shows it.
+
+use std::sync::atomic::Ordering;
+
+use crate::logs;
+use crate::metrics::{Counter, Gauge};
+
+use super::node::Node;
+
+impl Node {
+    /// All metrics as text, one a line.
+    pub fn metrics_text(&self) -> String {
+        self.read_levels();
+        self.read_totals();
+        self.metrics.text()
+    }
+
+    fn read_levels(&self) {
+        let now = self.now();
+        let (load, capacity, owned, waiting) = {
+            let engine = &self.lock().engine;
+            let owned = engine.owned().count();
+            (engine.load(now), engine.capacity(now), owned, engine.waiting())
+        };
+        let routes_age = now.0 - self.routes_since.load(Ordering::Relaxed);
+        let targets_age = now.0 - self.targets_since.load(Ordering::Relaxed);
+        for (gauge, level) in [
+            (Gauge::TargetsOwned, owned as u64),
+            (Gauge::CpuFree, capacity.free),
+            (Gauge::CpuUsed, capacity.used),
+            (Gauge::CpuResting, capacity.resting),
+            (Gauge::CpuUnclear, capacity.unclear),
+            (Gauge::CpuDraining, capacity.draining),
+            (Gauge::TargetsAge, targets_age),
+            (Gauge::RoutesAge, routes_age),
+            (Gauge::Backlog, load.backlog.0),
+            (Gauge::BatchesWaiting, waiting as u64),
+            (Gauge::PeersLinked, self.links.up().len() as u64),
+            (Gauge::RequestsBusy, self.traffic.busy() as u64),
+            (Gauge::ConnectionsOpen, self.traffic.open() as u64),
+            (Gauge::Draining, u64::from(self.is_draining())),
+        ] {
+            self.metrics.set(gauge, level);
+        }
+    }
+
+    fn read_totals(&self) {
+        let calls = self.store.calls();
+        let leases = self.lock().engine.leases();
+        let volume = self.links.volume();
+        for (counter, total) in [
+            (Counter::StoreReads, calls.reads),
+            (Counter::StoreWrites, calls.writes),
+            (Counter::StoreWatches, calls.watches),
+            (Counter::StoreUnanswered, calls.unanswered),
+            (Counter::StoreRefused, calls.refused),
+            (Counter::LeasesLate, leases.late),
+            (Counter::LeasesLapsed, leases.lapsed),
+            (Counter::LinesOmitted, logs::omitted()),
+            (Counter::PeerControlFrames, volume.control_frames),
+            (Counter::PeerControlBytes, volume.control_bytes),
+            (Counter::PeerJobFrames, volume.job_frames),
+            (Counter::PeerJobBytes, volume.job_bytes),
+        ] {
+            self.metrics.raise(counter, total);
+        }
+    }
+}
--- a/src/vm/mod.rs
+++ b/src/vm/mod.rs
@@ -7,6 +7,7 @@
 mod announce;
 mod core;
 mod follow;
+mod meter;
 mod node;
 mod peers;
 mod start;
--- a/src/vm/node.rs
+++ b/src/vm/node.rs
@@ -15,7 +15,7 @@
 use crate::http::server::Traffic;
 use crate::job::Incarnation;
 use crate::membership::Membership;
-use crate::metrics::{Counter, Gauge, Metrics};
+use crate::metrics::{Counter, Metrics, Timer as Timing};
 use crate::ownership::{Ownership, Peer, Place, Presence};
 use crate::peer::Links;
 use crate::route::Table;
@@ -239,6 +239,9 @@
             self.metrics.count(if *fenced { Counter::TargetsFenced } else { Counter::TargetsLeft });
             event!(info, "target-left", target = target, fenced = fenced);
         }
+        for &wait in &work.waits {
+            self.metrics.time(Timing::Wait, wait);
+        }
         for call in work.calls {
             self.call(call);
         }
@@ -268,13 +271,17 @@
             | Action::Owned { .. }
             | Action::Left { .. } => return,
         };
+        let is_start = matches!(action, Action::Start { .. });
         let runners = self.runners.lock().unwrap_or_else(PoisonError::into_inner);
         let Some(reached) = runners.get(target) else { return };
         let calling = Arc::clone(&reached.runner).call(action);
         drop(runners);
-        let node = Arc::clone(self);
+        let (node, sent) = (Arc::clone(self), self.now());
         runtime::spawn(async move {
             let reply = calling.await;
+            if is_start {
+                node.metrics.time(Timing::Start, node.now() - sent);
+            }
             match reply {
                 Reply::Lost | Reply::Unsent => node.metrics.count(Counter::LeasedLost),
                 Reply::Denied { .. } => node.metrics.count(Counter::LeasedDenied),
@@ -378,24 +385,6 @@
         peers
     }
 
-    /// All metrics as text, one a line.
-    pub fn metrics_text(&self) -> String {
-        let load = self.lock().engine.load(self.clock.now());
-        let owned = self.lock().engine.owned().count() as u64;
-        self.metrics.set(Gauge::TargetsOwned, owned);
-        self.metrics.set(Gauge::CpuFree, load.free_cpu);
-        self.metrics.set(Gauge::Backlog, load.backlog.0);
-        self.metrics.set(Gauge::PeersLinked, self.links.up().len() as u64);
-        self.metrics.set(Gauge::RequestsBusy, self.traffic.busy() as u64);
-        self.metrics.set(Gauge::ConnectionsOpen, self.traffic.open() as u64);
-        self.metrics.set(Gauge::Draining, u64::from(self.is_draining()));
-        let calls = self.store.calls();
-        self.metrics.raise(Counter::StoreReads, calls.reads);
-        self.metrics.raise(Counter::StoreWrites, calls.writes);
-        self.metrics.raise(Counter::StoreWatches, calls.watches);
-        self.metrics.text()
-    }
-
     /// Keeps the scheduler's time going, and looks at who owns what.
     pub(super) async fn tick(self: Arc<Self>) {
         let mut reviewed = Millis::ZERO;
--- a/tests/metrics.rs
+++ b/tests/metrics.rs
@@ -94,14 +94,14 @@
 }
 
 #[test]
-fn quantiles_are_exact_to_an_eighth() {
+fn quantiles_are_exact_to_two_digits() {
     let histogram = Histogram::new();
     assert_eq!(histogram.take(), Summary::default());
     (1..=1000).for_each(|time| histogram.add(Millis(time)));
     let summary = histogram.take();
     assert_eq!(summary.count, 1000);
     for (found, exact) in [(summary.p50, 500), (summary.p99, 990), (summary.max, 1000)] {
-        assert!((exact..=exact + exact / 8).contains(&found.0), "{found} for {exact}");
+        assert!((exact..=exact + exact / 100).contains(&found.0), "{found} for {exact}");
     }
     histogram.add(Millis(u64::MAX));
     assert_eq!(histogram.take().count, 1);
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -11,7 +11,7 @@
 use gypsumkeel::clock::Millis;
 use platform::{Env, LIMIT, Reply, wait_until};
 use rustix::process::Signal;
-use serde_json::json;
+use serde_json::{Value, json};
 
 /// The answer of a job that is done.
 fn done() -> Reply {
@@ -49,8 +49,9 @@
     assert_eq!(env.get(0, "/holds/"), Some((200, r#"{"pending":0}"#.to_owned())));
     assert_eq!(env.get(0, "/holds/00000000000000ff").map(|(status, _)| status), Some(410));
     assert_eq!(env.get(0, "/elsewhere/").map(|(status, _)| status), Some(404));
-    let metrics = env.metrics(0);
-    assert!(metrics.lines().any(|line| line == "batches.done 1"), "{metrics}");
+    assert_eq!(env.metric(0, "batches.done"), 1);
+    let waits = (0..4).map(|vm| env.metric(vm, "batches.wait.count")).sum::<u64>();
+    assert_eq!(waits, 4, "one wait a batch, on whichever VM owns its targets");
     let job = format!("job={:016x}", 0);
     wait_until("the end is logged", || env.vms[0].said(&["event=batch-end", &job, "outcome=done"]));
     env.check();
@@ -160,6 +161,8 @@
     env.store.set_down(true);
     let replies = env.load(&[0, 1, 2, 3], 4, after(Duration::from_secs(3)));
     assert!(are_done(&replies), "{replies:?}");
+    assert!(env.metric(0, "store.unanswered") + env.metric(0, "store.refused") > 0);
+    assert!(env.metric(0, "routes.age") > 3000);
     // A VM that starts meanwhile learns the routes from another.
     env.vms[3].kill();
     let again = env.launch(3);
@@ -261,16 +264,26 @@
         drop(env.submit(0, 1 << 41, 1, 1));
         env.vms[0].said(&["event=lines-omitted of=refused count="])
     });
+    assert!(env.metric(0, "logs.omitted") > 0);
+}
+
+/// The targets that have an owner by a VM's status, and those that it and the others say that they own.
+fn owners(status: &Value) -> (usize, u64) {
+    let targets = status["targets"].as_array().unwrap();
+    let owned = targets.iter().filter(|target| target["owner"].is_string()).count();
+    let own = targets.iter().filter(|target| target["owner"] == status["vm"]).count() as u64;
+    let peers = status["peers"].as_array().unwrap().iter();
+    (owned, own + peers.map(|peer| peer["targets"].as_u64().unwrap()).sum::<u64>())
 }
 
 /// Operators see who owns what without reading the log.
 #[test]
 fn status_shows_owners_load_and_ages() {
     let env = Env::start(2, 3);
-    wait_until("every target has an owner", || {
-        let status = env.status(0);
-        let targets = status["targets"].as_array().unwrap();
-        targets.len() == 6 && targets.iter().all(|target| target["owner"].is_string())
+    // VMs that start at the same moment may take targets from each other first.
+    wait_until("each target has one owner, in one and the same view", || {
+        let (owned, claimed) = owners(&env.status(0));
+        (owned, claimed) == (6, 6)
     });
     let status = env.status(0);
     let peers = status["peers"].as_array().unwrap();
@@ -279,10 +292,6 @@
         peers.iter().all(|peer| peer["linked"] == true && peer["said"]["age"].is_u64()),
         "{status}"
     );
-    let owned = peers.iter().map(|peer| peer["targets"].as_u64().unwrap()).sum::<u64>();
-    let own = status["targets"].as_array().unwrap();
-    let own = own.iter().filter(|target| target["owner"] == status["vm"]).count() as u64;
-    assert_eq!(owned + own, 6, "{status}");
     assert_eq!(status["routes"]["version"], 1, "{status}");
     let output = Command::new(env!("CARGO_BIN_EXE_gypsumkeel"))
         .args(["status", "--entry", &format!("http://{}:9100", env.vms[0].ip)])
--- a/tests/platform/mod.rs
+++ b/tests/platform/mod.rs
@@ -215,6 +215,14 @@
         self.ask(index, 9100, &question).expect("metrics").1
     }
 
+    /// The value of one metric of a VM.
+    pub fn metric(&self, index: usize, name: &str) -> u64 {
+        let text = self.metrics(index);
+        let mut lines = text.lines().filter_map(|line| line.split_once(' '));
+        let value = lines.find(|(known, _)| *known == name).map(|(_, value)| value.parse());
+        value.expect("the metric is there").expect("it is a number")
+    }
+
     /// Reads the state of a queue or a job.
     pub fn get(&self, index: usize, path: &str) -> Option<(u16, String)> {
         let headers = [("Host", HOST)];
--- a/tests/schedule.rs
+++ b/tests/schedule.rs
@@ -10,7 +10,8 @@
 
 use fastrand::Rng;
 use gypsumkeel::batch::{Name, Outcome, Refusal};
-use gypsumkeel::schedule::{Event, Trouble};
+use gypsumkeel::clock::Millis;
+use gypsumkeel::schedule::{Event, Leases, Trouble};
 use model::{Fault, LEASE, Model, listing, spec};
 
 const SEED: u64 = 11;
@@ -299,6 +300,46 @@
 }
 
 /// Faults of all kinds at random: whatever comes, every batch ends once, and the targets' own checks hold.
+/// A VM whose targets do nothing wrong sees no lease in danger.
+#[test]
+fn leases_are_late_and_lapse_only_where_something_is_wrong() {
+    let mut model = world(2);
+    model.submit(100, 0, 1, spec("j1", 2, 7, 3000), 3000, 20_000);
+    model.run(3000);
+    assert_eq!(model.engines[0].leases(), Leases::default());
+    model.frozen[0] = true;
+    model.run(3700);
+    model.thaw(0);
+    model.run(4500);
+    let late = model.engines[0].leases();
+    assert!(late.late > 0, "{late:?}");
+    model.submit(6000, 0, 2, spec("j2", 4, 7, 3000), 3000, 20_000);
+    model.fault(6500, 0, Fault { silent: true, ..Fault::default() });
+    model.run(9500);
+    assert!(model.engines[0].leases().lapsed > 0, "{:?}", model.engines[0].leases());
+}
+
+#[test]
+fn each_core_counts_once_by_what_stands_in_its_way() {
+    let mut model = world(4);
+    model.fault(50, 0, Fault { hangs: true, ..Fault::default() });
+    model.fault(1100, 1, Fault { silent: true, ..Fault::default() });
+    model.drain_target(1100, 2);
+    for job in 1..=20 {
+        model.submit(job * 50, 0, job, spec(&format!("j{job}"), 2, 7, 100), 100, 10_000);
+    }
+    model.run(1000);
+    let busy = model.engines[0].capacity(Millis(1000));
+    assert!(busy.resting > 0 && busy.used > 0, "{busy:?}");
+    model.run(2000);
+    model.submit(2000, 0, 21, spec("j21", 1, 7, 500), 500, 10_000);
+    model.run(2100);
+    let seen = model.engines[0].capacity(Millis(2100));
+    assert!(seen.resting + seen.unclear >= 16_000 && seen.draining > 0, "{seen:?}");
+    let all = seen.free + seen.used + seen.resting + seen.unclear + seen.draining;
+    assert_eq!(all, 4 * 16_000, "{seen:?}");
+}
+
 #[test]
 fn no_mix_of_faults_breaks_a_rule() {
     for seed in 1..=30 {
