Log where a batch went and why it went on, and at debug each order

Cause: `batch-again` named neither the VM that had been tried nor what it said, so the way of a request over several VMs had to be put together from all logs; orders to targets and the age of what a choice rests on were not logged at all. Change: `batch-again` names both, `batch-end` the version of the configuration; `batch-routed`, `task-start` and `task-stop` tell the inputs, their age and the outcome at the level debug. Calls to targets have a file of their own, vm/calls.rs. Test: a batch followed through a debug log of real processes, by its id; it fails without the lines.

--- a/src/platform/front.rs
+++ b/src/platform/front.rs
@@ -64,7 +64,7 @@
     };
     let id = id.to_owned();
     match request.method() {
-        Method::Post => submit(node, route, &id, since, &mut request).await,
+        Method::Post => submit(node, (route, routes.version), &id, since, &mut request).await,
         Method::Get if id.is_empty() => {
             json(StatusCode::Ok, &json!({ "pending": node.pending(&route.name) }))
         }
@@ -82,7 +82,7 @@
 
 async fn submit(
     node: &Arc<Node>,
-    route: Arc<Route>,
+    (route, version): (Arc<Route>, u64),
     id: &str,
     since: Millis,
     request: &mut Request,
@@ -115,7 +115,8 @@
         queue = route.name,
         outcome = outcome,
         ms = took.0,
-        patience = patience.0
+        patience = patience.0,
+        routes = version
     );
     respond(id, &outcome)
 }
--- a/src/schedule/event.rs
+++ b/src/schedule/event.rs
@@ -1,5 +1,6 @@
 //! What goes into the scheduler and what comes out of it.
 
+use std::fmt;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -117,6 +118,17 @@
     Lost,
 }
 
+impl fmt::Display for Reply {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Order(_) | Self::Hold(_) => f.write_str("ok"),
+            Self::Denied { denial, .. } => write!(f, "denied-{denial}"),
+            Self::Unsent => f.write_str("unsent"),
+            Self::Lost => f.write_str("lost"),
+        }
+    }
+}
+
 /// A start or stop that was executed, now or before.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct OrderAnswer {
@@ -191,6 +203,20 @@
     Invalid,
 }
 
+impl fmt::Display for Denial {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Fence => "fence",
+            Self::OldRun => "old-run",
+            Self::Late => "late",
+            Self::Room => "room",
+            Self::Unhealthy => "unhealthy",
+            Self::OtherLife => "other-life",
+            Self::Invalid => "invalid",
+        })
+    }
+}
+
 /// What is to be done.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
--- /dev/null
+++ b/src/vm/calls.rs
@@ -0,0 +1,96 @@
+//! Calls to targets: counted, timed, and their answers given to the scheduler.
+
+use std::sync::{Arc, PoisonError};
+
+use crate::batch::Name;
+use crate::clock::Millis;
+use crate::event;
+use crate::metrics::{Counter, Timer};
+use crate::runtime;
+use crate::schedule::{Action, Event, Fence, Reply};
+
+use super::node::Node;
+
+impl Node {
+    /// Makes a call to a target, and gives its answer to the scheduler.
+    pub(super) fn call(self: &Arc<Self>, action: Action) {
+        let (counter, order, target) = match &action {
+            Action::Start { order, target, .. } => (Counter::LeasedStarts, *order, target),
+            Action::Stop { order, target, .. } => (Counter::LeasedStops, *order, target),
+            Action::Hold { order, target, .. } => (Counter::LeasedHolds, *order, target),
+            Action::Distrust { .. }
+            | Action::End { .. }
+            | Action::Owned { .. }
+            | Action::Left { .. } => return,
+        };
+        self.metrics.count(counter);
+        let asked = Asked::of(&action);
+        let is_start = matches!(action, Action::Start { .. });
+        let runners = self.runners.lock().unwrap_or_else(PoisonError::into_inner);
+        let Some(reached) = runners.get(target) else { return };
+        let calling = Arc::clone(&reached.runner).call(action);
+        drop(runners);
+        let (node, sent) = (Arc::clone(self), self.now());
+        runtime::spawn(async move {
+            let reply = calling.await;
+            let took = node.now() - sent;
+            if is_start {
+                node.metrics.time(Timer::Start, took);
+            }
+            if let Some(asked) = asked {
+                asked.log(&reply, took);
+            }
+            match reply {
+                Reply::Lost | Reply::Unsent => node.metrics.count(Counter::LeasedLost),
+                Reply::Denied { .. } => node.metrics.count(Counter::LeasedDenied),
+                Reply::Order(_) | Reply::Hold(_) => {}
+            }
+            node.handle(Event::Answer { order, reply });
+        })
+        .detach();
+    }
+}
+
+/// A start or a stop, as the log tells of it.
+#[derive(Debug)]
+struct Asked {
+    event: &'static str,
+    target: Arc<str>,
+    name: Name,
+    run: u32,
+    fence: Fence,
+}
+
+impl Asked {
+    /// What an action asks of a target; `None` for others, and where nobody reads that.
+    fn of(action: &Action) -> Option<Self> {
+        if !log::log_enabled!(log::Level::Debug) {
+            return None;
+        }
+        let (event, target, name, run, fence) = match action {
+            Action::Start { target, name, run, fence, .. } => {
+                ("task-start", target, name, run, fence)
+            }
+            Action::Stop { target, name, run, fence, .. } => {
+                ("task-stop", target, name, run, fence)
+            }
+            _ => return None,
+        };
+        let (target, name) = (Arc::clone(target), name.clone());
+        Some(Self { event, target, name, run: *run, fence: *fence })
+    }
+
+    fn log(&self, reply: &Reply, took: Millis) {
+        event!(
+            debug,
+            self.event,
+            job = self.name.job,
+            task = self.name,
+            run = self.run,
+            target = self.target,
+            round = self.fence.round,
+            outcome = reply,
+            ms = took.0
+        );
+    }
+}
--- a/src/vm/mod.rs
+++ b/src/vm/mod.rs
@@ -5,6 +5,7 @@
 
 mod adapter;
 mod announce;
+mod calls;
 mod core;
 mod follow;
 mod meter;
--- a/src/vm/node.rs
+++ b/src/vm/node.rs
@@ -19,8 +19,7 @@
 use crate::ownership::{Ownership, Peer, Place, Presence};
 use crate::peer::Links;
 use crate::route::Table;
-use crate::runtime;
-use crate::schedule::{Action, Engine, Event, JobId, Reply, Rules};
+use crate::schedule::{Engine, Event, JobId, Rules};
 use crate::settings::Lease;
 use crate::store::Store;
 
@@ -84,7 +83,7 @@
     pub(super) adapter: Arc<dyn Adapter>,
     pub(super) clock: Clock,
     core: Mutex<Core>,
-    runners: Mutex<HashMap<Arc<str>, Reached>>,
+    pub(super) runners: Mutex<HashMap<Arc<str>, Reached>>,
     /// The racks' failure domains, the targets' too.
     pub(super) places: ArcSwap<Places>,
     pub(super) routes: ArcSwap<Table>,
@@ -111,9 +110,9 @@
 
 /// A target that can be called.
 #[derive(Debug)]
-struct Reached {
+pub(super) struct Reached {
     site: Site,
-    runner: Arc<dyn Runner>,
+    pub(super) runner: Arc<dyn Runner>,
 }
 
 /// Which targets stand on which rack.
@@ -251,47 +250,6 @@
         }
     }
 
-    /// Makes a call to a target, and gives its answer to the scheduler.
-    fn call(self: &Arc<Self>, action: Action) {
-        let (order, target) = match &action {
-            Action::Start { order, target, .. } => {
-                self.metrics.count(Counter::LeasedStarts);
-                (*order, target)
-            }
-            Action::Stop { order, target, .. } => {
-                self.metrics.count(Counter::LeasedStops);
-                (*order, target)
-            }
-            Action::Hold { order, target, .. } => {
-                self.metrics.count(Counter::LeasedHolds);
-                (*order, target)
-            }
-            Action::Distrust { .. }
-            | Action::End { .. }
-            | Action::Owned { .. }
-            | Action::Left { .. } => return,
-        };
-        let is_start = matches!(action, Action::Start { .. });
-        let runners = self.runners.lock().unwrap_or_else(PoisonError::into_inner);
-        let Some(reached) = runners.get(target) else { return };
-        let calling = Arc::clone(&reached.runner).call(action);
-        drop(runners);
-        let (node, sent) = (Arc::clone(self), self.now());
-        runtime::spawn(async move {
-            let reply = calling.await;
-            if is_start {
-                node.metrics.time(Timing::Start, node.now() - sent);
-            }
-            match reply {
-                Reply::Lost | Reply::Unsent => node.metrics.count(Counter::LeasedLost),
-                Reply::Denied { .. } => node.metrics.count(Counter::LeasedDenied),
-                Reply::Order(_) | Reply::Hold(_) => {}
-            }
-            node.handle(Event::Answer { order, reply });
-        })
-        .detach();
-    }
-
     /// Takes the targets that the store lists.
     pub(super) fn set_targets(self: &Arc<Self>, sites: Vec<Site>) {
         let mut places = Places::default();
--- a/src/vm/submit.rs
+++ b/src/vm/submit.rs
@@ -88,22 +88,31 @@
                 break;
             }
             let may_wait = refused.is_none();
-            let Some(owner) = self.find_owner(spec, &tried, wait, may_wait).await else { break };
-            let outcome = match owner {
+            let Some(chosen) = self.find_owner(spec, &tried, wait, may_wait).await else { break };
+            self.log_route(spec, &chosen);
+            let outcome = match chosen.vm {
                 Owner::Own => self.run_here(spec, wait).await,
                 Owner::Peer(vm) => self.run_there(vm, spec, wait).await,
             };
-            tried.insert(owner);
+            tried.insert(chosen.vm);
             match outcome {
                 Outcome::Moved => {}
                 Outcome::Interrupted => {
                     has_started = true;
                     tried.clear();
                 }
-                Outcome::Refused { .. } => refused = Some(outcome),
-                ended => return ended,
+                Outcome::Refused { .. } => refused = Some(outcome.clone()),
+                Outcome::Done | Outcome::Failed | Outcome::Expired => return outcome,
             }
-            event!(info, "batch-again", job = spec.id, tried = tried.len(), started = has_started);
+            event!(
+                info,
+                "batch-again",
+                job = spec.id,
+                vm = self.name_of(chosen.vm),
+                outcome = outcome,
+                tried = tried.len(),
+                started = has_started
+            );
             if tried.len() >= TRIES_MAX {
                 break;
             }
@@ -119,12 +128,12 @@
         tried: &BTreeSet<Owner>,
         wait: Wait,
         may_wait: bool,
-    ) -> Option<Owner> {
+    ) -> Option<Candidate<Owner>> {
         let find = async {
             loop {
                 let changed = self.owners_changed.listen();
-                if let Some(owner) = self.choose_owner(spec, tried) {
-                    return Some(owner);
+                if let Some(chosen) = self.choose_owner(spec, tried) {
+                    return Some(chosen);
                 }
                 if !may_wait {
                     return None;
@@ -141,14 +150,45 @@
     }
 
     /// The VM that can end the batch soonest, of those that were not tried yet.
-    fn choose_owner(&self, spec: &Spec, tried: &BTreeSet<Owner>) -> Option<Owner> {
+    fn choose_owner(&self, spec: &Spec, tried: &BTreeSet<Owner>) -> Option<Candidate<Owner>> {
         let places = self.places.load();
         let rack = spec.steps.iter().find_map(|step| step.near_rack.as_ref());
         let near = rack.and_then(|rack| places.racks.get(rack));
         let mut candidates = self.candidates(near.map(|targets| &targets[..]));
         candidates.retain(|candidate| !tried.contains(&candidate.vm));
         let demand = Demand::of(spec, near.map(|_| self.settings.rules.far_factor));
-        route::choose(candidates, demand).map(|candidate| candidate.vm)
+        route::choose(candidates, demand)
+    }
+
+    /// Tells which VM gets a batch, and how old what is known of it is.
+    fn log_route(&self, spec: &Spec, chosen: &Candidate<Owner>) {
+        if !log::log_enabled!(log::Level::Debug) {
+            return;
+        }
+        let now = self.now();
+        let age = match chosen.vm {
+            Owner::Own => Millis::ZERO,
+            Owner::Peer(vm) => self.lock().said.get(&vm).map_or(now, |said| now - said.at),
+        };
+        event!(
+            debug,
+            "batch-routed",
+            job = spec.id,
+            vm = self.name_of(chosen.vm),
+            near = chosen.is_near,
+            free_cpu = chosen.load.free_cpu,
+            backlog_ms = chosen.load.backlog.0,
+            age_ms = age.0
+        );
+    }
+
+    fn name_of(&self, owner: Owner) -> String {
+        match owner {
+            Owner::Own => self.settings.vm.clone(),
+            Owner::Peer(vm) => {
+                self.links.get(vm).map_or_else(|| vm.to_string(), |link| link.hello.vm.clone())
+            }
+        }
     }
 
     /// The VMs that own targets. Those of `near`, if given, are where the batch belongs.
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -267,6 +267,24 @@
     assert!(env.metric(0, "logs.omitted") > 0);
 }
 
+/// At the level debug each decision about a batch has its line, with what it rests on.
+#[test]
+fn a_debug_log_tells_the_way_of_a_batch() {
+    let env = Env::start_with(1, 1, &["--log-level", "debug"]);
+    assert_eq!(env.submit(0, 7, 2, 10), Some(done()));
+    let job = format!("job={:016x}", 7);
+    let said =
+        |words: &[&str]| env.vms.iter().any(|vm| vm.said(&[&[job.as_str()], words].concat()));
+    for words in [
+        &["event=batch-routed", "vm=edge-", "free_cpu=", "backlog_ms=", "age_ms="][..],
+        &["event=task-start", ".0.0.1", "run=1", "target=w-", "round=", "outcome=ok", "ms="],
+        &["event=batch-run", "outcome=done", "waited_ms=", "starts=2"],
+        &["event=batch-end", "outcome=done", "routes=1"],
+    ] {
+        wait_until(&format!("a line with {words:?}"), || said(words));
+    }
+}
+
 /// The targets that have an owner by a VM's status, and those that it and the others say that they own.
 fn owners(status: &Value) -> (usize, u64) {
     let targets = status["targets"].as_array().unwrap();
--- a/tests/platform/mod.rs
+++ b/tests/platform/mod.rs
@@ -72,6 +72,7 @@
     pub vms: Vec<Vm>,
     domains: Vec<String>,
     directory: PathBuf,
+    arguments: &'static [&'static str],
     /// What tells this environment's loopback addresses from others'.
     net: [u8; 2],
 }
@@ -87,6 +88,11 @@
 impl Env {
     /// Starts `vms` VMs and `workers` workers in each of two domains, and waits until all workers are owned.
     pub fn start(vms: usize, workers: usize) -> Self {
+        Self::start_with(vms, workers, &[])
+    }
+
+    /// The same, with further arguments for the VMs.
+    pub fn start_with(vms: usize, workers: usize, arguments: &'static [&'static str]) -> Self {
         let ledger = Arc::<Ledger>::default();
         let store = Kv::start();
         let domains = ["a", "b"];
@@ -107,6 +113,7 @@
             vms: Vec::new(),
             domains: domains.iter().flat_map(|d| vec![(*d).to_owned(); vms]).collect(),
             directory,
+            arguments,
             net: [fastrand::u8(1..250), fastrand::u8(..)],
         };
         env.configure(1, PREFIX);
@@ -165,6 +172,7 @@
         fs::write(&file, self.settings(index).to_string()).unwrap();
         let mut child = Command::new(env!("CARGO_BIN_EXE_gypsumkeel"))
             .arg("platform")
+            .args(self.arguments)
             .env("GYPSUMKEEL_SETTINGS", &file)
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
