--- a/src/vm/submit.rs
+++ b/src/vm/submit.rs
@@ -89,7 +89,8 @@
             }
             let may_wait = refused.is_none();
             let Some(chosen) = self.find_owner(spec, &tried, wait, may_wait).await else { break };
-            self.log_route(spec, &chosen);
+            let vm = self.name_of(chosen.vm);
+            self.log_route(spec, &chosen, &vm);
             let outcome = match chosen.vm {
                 Owner::Own => self.run_here(spec, wait).await,
                 Owner::Peer(vm) => self.run_there(vm, spec, wait).await,
@@ -108,7 +109,7 @@
                 info,
                 "batch-again",
                 job = spec.id,
-                vm = self.name_of(chosen.vm),
+                vm = vm,
                 outcome = outcome,
                 tried = tried.len(),
                 started = has_started
@@ -161,7 +162,7 @@
     }
 
     /// Tells which VM gets a batch, and how old what is known of it is.
-    fn log_route(&self, spec: &Spec, chosen: &Candidate<Owner>) {
+    fn log_route(&self, spec: &Spec, chosen: &Candidate<Owner>, vm: &str) {
         if !log::log_enabled!(log::Level::Debug) {
             return;
         }
@@ -174,7 +175,7 @@
             debug,
             "batch-routed",
             job = spec.id,
-            vm = self.name_of(chosen.vm),
+            vm = vm,
             near = chosen.is_near,
             free_cpu = chosen.load.free_cpu,
             backlog_ms = chosen.load.backlog.0,
