--- a/src/schedule/mod.rs
+++ b/src/schedule/mod.rs
@@ -6,6 +6,7 @@
 mod attempts;
 mod batch;
 mod capacity;
+mod end;
 mod engine;
 mod event;
 mod fence;
