Tell the age of the list of targets by its last reading

Cause: the metric and status told when the list had changed last, so an old age meant nothing about the store. Besides, the metric subtracted a time that another thread may have set after `now` was read: an overflow, which ends a debug build. Change: each reading sets the time; the age is worked out in one place, and saturates. A test of recovery waits until jobs run instead of a fixed time.

--- a/src/vm/follow.rs
+++ b/src/vm/follow.rs
@@ -64,6 +64,7 @@
                     known.clone_from(&sites);
                     self.set_targets(sites);
                 }
+                self.targets_since.store(self.now().0, Ordering::Relaxed);
                 read.index
             });
             self.note_store(given.is_ok());
--- a/src/vm/meter.rs
+++ b/src/vm/meter.rs
@@ -1,7 +1,5 @@
 //! What a VM counts, as the page of metrics shows it.
 
-use std::sync::atomic::Ordering;
-
 use crate::logs;
 use crate::metrics::{Counter, Gauge};
 
@@ -22,8 +20,6 @@
             let owned = engine.owned().count();
             (engine.load(now), engine.capacity(now), owned, engine.waiting())
         };
-        let routes_age = now.0 - self.routes_since.load(Ordering::Relaxed);
-        let targets_age = now.0 - self.targets_since.load(Ordering::Relaxed);
         for (gauge, level) in [
             (Gauge::TargetsOwned, owned as u64),
             (Gauge::CpuFree, capacity.free),
@@ -31,8 +27,8 @@
             (Gauge::CpuResting, capacity.resting),
             (Gauge::CpuUnclear, capacity.unclear),
             (Gauge::CpuDraining, capacity.draining),
-            (Gauge::TargetsAge, targets_age),
-            (Gauge::RoutesAge, routes_age),
+            (Gauge::TargetsAge, self.age(&self.targets_since).0),
+            (Gauge::RoutesAge, self.age(&self.routes_since).0),
             (Gauge::Backlog, load.backlog.0),
             (Gauge::BatchesWaiting, waiting as u64),
             (Gauge::PeersLinked, self.links.up().len() as u64),
--- a/src/vm/node.rs
+++ b/src/vm/node.rs
@@ -168,6 +168,11 @@
         self.clock.now()
     }
 
+    /// How long ago `point` of this VM's clock was; zero if another thread has just set it.
+    pub(super) fn age(&self, point: &AtomicU64) -> Millis {
+        self.now() - Millis(point.load(Ordering::Relaxed))
+    }
+
     /// The routes in force.
     pub fn routes(&self) -> Arc<Table> {
         self.routes.load_full()
@@ -275,7 +280,6 @@
             }
         }
         self.places.store(Arc::new(places));
-        self.targets_since.store(self.now().0, Ordering::Relaxed);
         let listings = sites.into_iter().map(|site| site.listing).collect();
         self.with_core(|core, now, work| {
             core.ownership.set_targets(owned_places);
--- a/src/vm/status.rs
+++ b/src/vm/status.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
 
 use serde::Serialize;
 
@@ -74,7 +73,6 @@
     /// How this VM is.
     pub fn status(&self) -> Status {
         let (now, routes) = (self.now(), self.routes());
-        let age = |since: &AtomicU64| now - Millis(since.load(Ordering::Relaxed));
         let core = self.lock();
         Status {
             vm: self.settings.vm.clone(),
@@ -87,9 +85,9 @@
             routes: Routes {
                 version: routes.version,
                 count: routes.len(),
-                age: age(&self.routes_since),
+                age: self.age(&self.routes_since),
             },
-            targets_age: age(&self.targets_since),
+            targets_age: self.age(&self.targets_since),
             store: self.store.calls(),
             peers: peers(&core, now),
             targets: self.targets(&core, now),
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -326,6 +326,19 @@
     );
 }
 
+/// The list of targets is read again and again, also while nothing on it changes.
+#[test]
+fn the_age_of_the_list_of_targets_is_that_of_the_last_reading() {
+    let env = Env::start(1, 1);
+    let mut oldest = 0;
+    wait_until("the list is read again", || {
+        let age = env.metric(0, "targets.age");
+        let is_younger = age < oldest;
+        oldest = oldest.max(age);
+        is_younger
+    });
+}
+
 /// A batch whose caller's time ran out while it waited was not run, and its caller is told so.
 #[test]
 fn a_batch_that_never_started_is_refused_not_expired() {
--- a/tests/recovery.rs
+++ b/tests/recovery.rs
@@ -39,7 +39,7 @@
     let start = Instant::now();
     thread::scope(|scope| {
         scope.spawn(|| env.load(&[0, 1, 2, 3], 6, || start.elapsed() > Duration::from_secs(1)));
-        thread::sleep(Duration::from_millis(700));
+        wait_until("jobs run", || env.workers.iter().all(|worker| worker.running() > 0));
         env.vms.iter().for_each(|vm| vm.signal(Signal::KILL));
     });
     env.vms.iter().for_each(platform::Vm::kill);
