--- a/src/peer/links.rs
+++ b/src/peer/links.rs
@@ -173,9 +173,13 @@
     /// Accepts the connections that other VMs dial, for ever.
     pub async fn listen(self: Arc<Self>, listener: TcpListener, handler: Arc<dyn Handler>) {
         loop {
-            let Ok((stream, _)) = listener.accept().await else {
-                Timer::after(ACCEPT_PAUSE.duration()).await;
-                continue;
+            let stream = match listener.accept().await {
+                Ok((stream, _)) => stream,
+                Err(error) => {
+                    event!(warn, "accept-failed", reason = error);
+                    Timer::after(ACCEPT_PAUSE.duration()).await;
+                    continue;
+                }
             };
             let (links, handler) = (Arc::clone(&self), Arc::clone(&handler));
             runtime::spawn(async move {
