Give each stand-in and VM of the tests an address of its own

Cause: all of them took free ports of one loopback address. The proxy before a killed VM went on forwarding to the VM's port, which another environment's target could have by then: it got a WebSocket handshake, panicked, and the panic came up as the failure of a test that had nothing to do with it (also one without any message). Seen: 3 of 356 runs of tests/guarantees_answers.rs (8 and 10 at a time) ended so in three different tests. Ruled out: the program; the handshake comes from VMs that rightly dial a VM that was there. Change: a loopback address for each, and a target answers 404 to what is no task. The new test of the stand-ins fails before both.

--- a/tests/standins.rs
+++ b/tests/standins.rs
@@ -2,6 +2,7 @@
 
 mod testenv;
 
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -74,6 +75,25 @@
     assert_eq!(target.counts().refused.load(Ordering::Relaxed), 1);
 }
 
+/// A VM that dials where another one was may reach a target: the target is to go on.
+#[test]
+fn a_stranger_is_turned_away_and_no_address_is_shared() {
+    let ledger = Arc::<Ledger>::default();
+    let targets = (0..4).map(|_| Target::start("t", 8, Arc::clone(&ledger))).collect::<Vec<_>>();
+    let proxies = targets.iter().map(|target| Proxy::start(Some(target.address)));
+    let proxies = proxies.collect::<Vec<_>>();
+    smol::block_on(async {
+        let mut connection = Connection::open(proxies[0].address, PATIENCE).await.unwrap();
+        let stranger = connection.ask(&Question::get("/", PATIENCE)).await.unwrap();
+        assert_eq!(stranger.status, 404);
+        assert_eq!(send(&mut connection, "a", 0).await.unwrap().status, 200);
+    });
+    let addresses = targets.iter().map(|target| target.address);
+    let addresses = addresses.chain(proxies.iter().map(|proxy| proxy.address));
+    let hosts = addresses.map(|address| address.ip()).collect::<HashSet<_>>();
+    assert_eq!(hosts.len(), targets.len() + proxies.len());
+}
+
 #[test]
 fn a_proxy_freezes_cuts_and_loses_answers() {
     let ledger = Arc::<Ledger>::default();
--- a/tests/testenv/env.rs
+++ b/tests/testenv/env.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::fs;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -13,7 +14,7 @@
 use serde_json::{Value, json};
 
 use super::store::Store;
-use super::{Caller, Ledger, Place, Proxy, Shut, Target, Vm, until, wait_until};
+use super::{Caller, Ledger, Place, Proxy, Shut, Target, Vm, free_host, until, wait_until};
 
 /// How long an environment may take until all its VMs serve.
 const READY_LIMIT: Duration = Duration::from_secs(20);
@@ -167,6 +168,8 @@
         "lantern-stranger".clone_into(&mut place.name);
         place.settings["vm"] = json!(place.name);
         place.settings["advertise"] = json!({});
+        let listen = SocketAddr::new(free_host(), 0);
+        place.settings["listen"] = json!({ "callers": listen, "peers": listen });
         let contacts = contacts.iter().map(|&index| self.peer_proxies[index].address);
         place.settings["peers"] = json!(contacts.collect::<Vec<_>>());
         Vm::start(&self.directory, &place)
@@ -211,11 +214,12 @@
 
     fn add_place(&mut self, name: &str, domain: &'static str, further: &Value) {
         let proxy = Proxy::start(None);
+        let listen = SocketAddr::new(free_host(), 0);
         let mut settings = json!({
             "vm": name,
             "domain": domain,
             "region": "south",
-            "listen": { "callers": "127.0.0.1:0", "peers": "127.0.0.1:0" },
+            "listen": { "callers": listen, "peers": listen },
             "advertise": { "peers": proxy.address },
             "store": {
                 "url": format!("http://{}", self.store_proxies[domain].address),
--- a/tests/testenv/mod.rs
+++ b/tests/testenv/mod.rs
@@ -11,6 +11,8 @@
 pub mod store;
 mod target;
 
+use std::net::{IpAddr, Ipv4Addr};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, LazyLock};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -39,6 +41,16 @@
     executor
 });
 
+/// A loopback address that nothing else uses. A port that one process or stand-in gives up is then never taken by
+/// another, which would get the calls of those that still dial it.
+pub fn free_host() -> IpAddr {
+    static NEXT: LazyLock<AtomicU32> = LazyLock::new(|| AtomicU32::new(fastrand::u32(..)));
+    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    let [_, second, third, last] = number.to_be_bytes();
+    // 127.0.x.y is left to others, and 127.255.255.255 is the broadcast address.
+    IpAddr::V4(Ipv4Addr::new(127, second.clamp(1, 254), third, last))
+}
+
 /// Cancels tasks of the stand-ins; when it returns their sockets are closed.
 fn end(tasks: impl IntoIterator<Item = Task<()>>) {
     future::block_on(async {
--- a/tests/testenv/proxy.rs
+++ b/tests/testenv/proxy.rs
@@ -1,6 +1,6 @@
 //! A TCP proxy that cuts, freezes, delays and refuses connections on command.
 
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -11,7 +11,7 @@
 use smol::{Task, Timer};
 use socket2::SockRef;
 
-use super::{EXECUTOR, end};
+use super::{EXECUTOR, end, free_host};
 
 /// How often a frozen connection looks whether it may go on.
 const FROZEN_STEP: Duration = Duration::from_millis(5);
@@ -101,7 +101,7 @@
             accepted: AtomicUsize::default(),
             links: Mutex::default(),
         });
-        let (address, accepting) = listen((Ipv4Addr::LOCALHOST, 0).into(), &shared);
+        let (address, accepting) = listen((free_host(), 0).into(), &shared);
         Self { address, shared, accepting: Mutex::new(Some(accepting)) }
     }
 
--- a/tests/testenv/store.rs
+++ b/tests/testenv/store.rs
@@ -17,6 +17,8 @@
 use smol::net::{TcpListener, TcpStream};
 use smol::{Executor, Timer};
 
+use super::free_host;
+
 /// The service whose VM list holds the targets.
 pub const TARGETS: &str = "targets";
 
@@ -105,7 +107,7 @@
 
     /// Starts on a free port of the loopback.
     pub fn start_with(rates: Rates) -> Self {
-        let listener = smol::block_on(TcpListener::bind("127.0.0.1:0")).expect("bind the store");
+        let listener = smol::block_on(TcpListener::bind((free_host(), 0))).expect("bind the store");
         let address = listener.local_addr().expect("the store's address");
         let clock = Clock::start();
         let shared = Arc::new(Shared {
--- a/tests/testenv/target.rs
+++ b/tests/testenv/target.rs
@@ -14,7 +14,7 @@
 use smol::net::{TcpListener, TcpStream};
 use smol::{Task, Timer};
 
-use super::{EXECUTOR, end};
+use super::{EXECUTOR, end, free_host};
 
 /// How long a task runs before its target looks again at its speed.
 const STEP_MS: f64 = 20.0;
@@ -128,7 +128,7 @@
             ledger,
             connections: Mutex::default(),
         });
-        let (address, accepting) = listen(&shared, ([127, 0, 0, 1], 0).into());
+        let (address, accepting) = listen(&shared, (free_host(), 0).into());
         Self { name: name.into(), address, shared, accepting: Mutex::new(Some(accepting)) }
     }
 
@@ -229,6 +229,9 @@
             self.counts.probes.fetch_add(1, Ordering::Relaxed);
             return Some(reply("200 OK", "", "{}"));
         }
+        if request.path != "/v1/tasks" {
+            return Some(reply("404 Not Found", "", "{}"));
+        }
         let mode = *self.mode.lock().unwrap();
         let (_running, now) = Held::new(&self.counts.running);
         if mode.leaving || now > mode.slots {
