Let a target rest whose address another worker has

Cause: the list shows a worker for seconds after another one got its address, whose answer is 421. Ruled out: a duel of two owners; all lines say `fenced=false`. Change: the reason of a loss is told (fenced, replaced, released), and a target that was replaced rests as one that was fenced does.

--- a/src/ownership/mod.rs
+++ b/src/ownership/mod.rs
@@ -28,7 +28,8 @@
 /// How long the store must have been away until registrations that it showed no longer count.
 const STORE_OUT_MAX: Millis = Millis(1500);
 
-/// The pause before a target that another VM took may be taken back.
+/// The pause before a target that was lost is tried again: another VM took it, or another worker answers at its
+/// address.
 const RETAKE_AFTER: Millis = Millis(1500);
 
 /// What tells whether a VM lives.
@@ -200,10 +201,10 @@
         self.own.insert(Arc::clone(target));
     }
 
-    /// Notes that this VM owns a target no longer.
-    pub fn lose(&mut self, now: Millis, target: &Arc<str>, to_another: bool) {
+    /// Notes that this VM owns a target no longer. One that rests is not taken again at once.
+    pub fn lose(&mut self, now: Millis, target: &Arc<str>, rests: bool) {
         self.own.remove(target);
-        if to_another {
+        if rests {
             self.lost_at.insert(Arc::clone(target), now);
         }
     }
--- a/src/schedule/engine.rs
+++ b/src/schedule/engine.rs
@@ -9,7 +9,7 @@
 use super::attempts::Attempts;
 use super::batch::{Job, Times};
 use super::capacity::Leases;
-use super::event::{Account, Action, Event, JobId, Listing, Load, OrderId, Rules};
+use super::event::{Account, Action, Event, JobId, Listing, Load, Loss, OrderId, Rules};
 use super::fence::Fence;
 use super::inflow::Inflow;
 use super::order::Order;
@@ -353,7 +353,7 @@
     fn stop_taking(&mut self, id: &str, actions: &mut Vec<Action>) {
         let Some(&number) = self.by_id.get(id) else { return };
         if self.targets[number].phase == Phase::Taking {
-            self.leave(number, false, actions);
+            self.leave(number, Loss::Released, actions);
         }
     }
 
@@ -408,7 +408,7 @@
         let Some(since) = target.unlisted_since else { return };
         let is_gone = now - since > self.rules.unlisted_max && target.runs.is_empty();
         if is_gone && target.phase != Phase::Free {
-            self.leave(number, false, actions);
+            self.leave(number, Loss::Released, actions);
         }
     }
 
@@ -417,19 +417,19 @@
         let target = &self.targets[number];
         let is_idle = target.runs.is_empty() && target.phase != Phase::Free;
         if self.draining && is_idle && self.queue.is_empty() {
-            self.leave(number, false, actions);
+            self.leave(number, Loss::Released, actions);
         }
     }
 
     /// Stops being the owner of a target. What runs there lapses unless the next owner stops it first.
-    pub(super) fn leave(&mut self, number: usize, fenced: bool, actions: &mut Vec<Action>) {
+    pub(super) fn leave(&mut self, number: usize, loss: Loss, actions: &mut Vec<Action>) {
         let target = &mut self.targets[number];
         target.phase = Phase::Free;
         target.waiting_hold = None;
         target.quick_hold = None;
         target.unsure = false;
         target.foreign.clear();
-        actions.push(Action::Left { target: Arc::clone(&target.listing.id), fenced });
+        actions.push(Action::Left { target: Arc::clone(&target.listing.id), loss });
     }
 }
 
--- a/src/schedule/event.rs
+++ b/src/schedule/event.rs
@@ -296,11 +296,32 @@
     Left {
         /// The target.
         target: Arc<str>,
-        /// Whether another VM has taken it.
-        fenced: bool,
+        /// Why.
+        loss: Loss,
     },
 }
 
+/// Why a VM is no longer the owner of a target.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Loss {
+    /// Another VM has taken it: the target has seen a higher token.
+    Fenced,
+    /// Another worker answers at its address.
+    Replaced,
+    /// This VM let it go: it is gone, or another VM's, or this VM stops.
+    Released,
+}
+
+impl fmt::Display for Loss {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Fenced => "fenced",
+            Self::Replaced => "replaced",
+            Self::Released => "released",
+        })
+    }
+}
+
 /// What may be a target's fault.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Trouble {
--- a/src/schedule/hold.rs
+++ b/src/schedule/hold.rs
@@ -6,7 +6,7 @@
 use crate::clock::Millis;
 
 use super::engine::Engine;
-use super::event::{Action, Denial, HoldAnswer, OrderId, Reply, Running};
+use super::event::{Action, Denial, HoldAnswer, Loss, OrderId, Reply, Running};
 use super::fence::Fence;
 use super::order::Order;
 use super::target::{Phase, State};
@@ -137,13 +137,13 @@
                 match target.phase {
                     // The former owner's round is not known: double until it is passed.
                     Phase::Taking => target.fence = target.fence.at(target.fence.round * 2 + 1),
-                    Phase::Owned => self.leave(number, true, actions),
+                    Phase::Owned => self.leave(number, Loss::Fenced, actions),
                     Phase::Free => {}
                 }
             }
             Reply::Denied { denial: Denial::Fence, .. } => {}
             Reply::Denied { denial: Denial::OtherLife, .. } if target.phase != Phase::Free => {
-                self.leave(number, false, actions);
+                self.leave(number, Loss::Replaced, actions);
             }
             _ => {
                 target.unsure = true;
--- a/src/schedule/mod.rs
+++ b/src/schedule/mod.rs
@@ -22,7 +22,7 @@
 pub use capacity::{Capacity, Leases};
 pub use engine::Engine;
 pub use event::{
-    Account, Action, Denial, Ended, Ending, Event, HoldAnswer, JobId, Listing, Load, OrderAnswer,
-    OrderId, Reply, Rules, Running, Trouble,
+    Account, Action, Denial, Ended, Ending, Event, HoldAnswer, JobId, Listing, Load, Loss,
+    OrderAnswer, OrderId, Reply, Rules, Running, Trouble,
 };
 pub use fence::Fence;
--- a/src/schedule/order.rs
+++ b/src/schedule/order.rs
@@ -7,7 +7,7 @@
 
 use super::attempts;
 use super::engine::{Engine, scaled};
-use super::event::{Action, Denial, JobId, OrderId, Reply};
+use super::event::{Action, Denial, JobId, Loss, OrderId, Reply};
 use super::fence::Fence;
 use super::stall::Progress;
 use super::target::{Phase, Run, State};
@@ -182,7 +182,7 @@
         match denial {
             Denial::Fence if fence == target.fence && target.phase == Phase::Owned => {
                 self.refute(now, number, name, run);
-                self.leave(number, true, actions);
+                self.leave(number, Loss::Fenced, actions);
                 return;
             }
             Denial::Fence => {}
@@ -261,7 +261,7 @@
             }
             Reply::Denied { denial: Denial::Fence, .. } if fence == target.fence => {
                 if target.phase == Phase::Owned {
-                    self.leave(number, true, actions);
+                    self.leave(number, Loss::Fenced, actions);
                 }
             }
             Reply::Denied { .. } | Reply::Unsent | Reply::Lost | Reply::Hold(_) => {
--- a/src/vm/core.rs
+++ b/src/vm/core.rs
@@ -10,7 +10,7 @@
 use crate::event;
 use crate::job::Incarnation;
 use crate::ownership::Ownership;
-use crate::schedule::{Account, Action, Engine, Event, JobId, Trouble};
+use crate::schedule::{Account, Action, Engine, Event, JobId, Loss, Trouble};
 use crate::wire::Busy;
 
 /// The state that decisions are made on.
@@ -56,8 +56,8 @@
     pub owns_changed: bool,
     /// Targets that were gained.
     pub gained: Vec<Arc<str>>,
-    /// Targets that were left, and whether another VM took them.
-    pub left: Vec<(Arc<str>, bool)>,
+    /// Targets that were left, and why.
+    pub left: Vec<(Arc<str>, Loss)>,
 }
 
 impl Core {
@@ -102,10 +102,10 @@
                     work.owns_changed = true;
                     work.gained.push(target);
                 }
-                Action::Left { target, fenced } => {
-                    self.ownership.lose(now, &target, fenced);
+                Action::Left { target, loss } => {
+                    self.ownership.lose(now, &target, loss != Loss::Released);
                     work.owns_changed = true;
-                    work.left.push((target, fenced));
+                    work.left.push((target, loss));
                 }
                 call => work.calls.push(call),
             }
--- a/src/vm/node.rs
+++ b/src/vm/node.rs
@@ -19,7 +19,7 @@
 use crate::ownership::{Ownership, Peer, Place, Presence};
 use crate::peer::Links;
 use crate::route::Table;
-use crate::schedule::{Engine, Event, JobId, Rules};
+use crate::schedule::{Engine, Event, JobId, Loss, Rules};
 use crate::settings::Lease;
 use crate::store::Store;
 
@@ -239,9 +239,11 @@
             self.metrics.count(Counter::TargetsTaken);
             event!(info, "target-owned", target = target);
         }
-        for (target, fenced) in &work.left {
-            self.metrics.count(if *fenced { Counter::TargetsFenced } else { Counter::TargetsLeft });
-            event!(info, "target-left", target = target, fenced = fenced);
+        for (target, loss) in &work.left {
+            let is_fenced = *loss == Loss::Fenced;
+            let counter = if is_fenced { Counter::TargetsFenced } else { Counter::TargetsLeft };
+            self.metrics.count(counter);
+            event!(info, "target-left", target = target, reason = loss);
         }
         for &wait in &work.waits {
             self.metrics.time(Timing::Wait, wait);
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -230,6 +230,30 @@
     env.check();
 }
 
+/// The store lists a worker for seconds after another one has taken its address. Two owners that met such workers told
+/// each other of each try, and tried again at once.
+#[test]
+fn workers_whose_addresses_others_have_are_asked_now_and_then() {
+    let env = Env::start(1, 2);
+    let replaced = [&env.workers[0], &env.workers[2]];
+    let calls = || replaced.iter().map(|worker| worker.calls()).sum::<u64>();
+    for worker in replaced {
+        worker.set_replaced(true);
+    }
+    wait_until("the owners have noticed", || (0..2).all(|vm| env.metric(vm, "targets.owned") < 2));
+    let before = calls();
+    let start = Instant::now();
+    let replies = env.load(&[0, 1], 3, || start.elapsed() > Duration::from_secs(2));
+    let calls = calls() - before;
+    assert!(calls < 20, "{calls} calls in two seconds");
+    assert!(are_done(&replies), "{replies:?}");
+    for worker in replaced {
+        worker.set_replaced(false);
+    }
+    wait_until("they are used again", || (0..2).all(|vm| env.metric(vm, "targets.owned") == 2));
+    env.check();
+}
+
 #[test]
 fn a_worker_that_drains_gets_nothing_more() {
     let env = Env::start(1, 2);
--- a/tests/platform/worker.rs
+++ b/tests/platform/worker.rs
@@ -59,6 +59,10 @@
     ledger: Arc<Ledger>,
     /// Calls that get no answer.
     silent: bool,
+    /// Whether another worker answers at its address.
+    is_replaced: bool,
+    /// Calls meant for this worker.
+    calls: u64,
     /// Starts get no answer, and are carried out so much later.
     late: Option<Duration>,
 }
@@ -85,6 +89,8 @@
             stopped: Vec::new(),
             ledger: Arc::clone(ledger),
             silent: false,
+            is_replaced: false,
+            calls: 0,
             late: None,
         };
         let state = Arc::new(Mutex::new(state));
@@ -127,6 +133,16 @@
         self.state.lock().unwrap().silent = silent;
     }
 
+    /// Lets another worker answer at its address, or this one again.
+    pub fn set_replaced(&self, is_replaced: bool) {
+        self.state.lock().unwrap().is_replaced = is_replaced;
+    }
+
+    /// Calls that were meant for this worker so far.
+    pub fn calls(&self) -> u64 {
+        self.state.lock().unwrap().calls
+    }
+
     /// Leaves starts unanswered, and carries them out later.
     pub fn set_late(&self, late: Option<Duration>) {
         self.state.lock().unwrap().late = late;
@@ -169,6 +185,12 @@
         1_000_000 + self.began.elapsed().as_millis() as u64
     }
 
+    /// Counts a call; true if another worker gets it.
+    const fn is_called_in_vain(&mut self) -> bool {
+        self.calls += 1;
+        self.is_replaced
+    }
+
     fn look(&mut self) {
         let clock = self.clock();
         for work in std::mem::take(&mut self.running) {
@@ -279,7 +301,7 @@
             let body = request.body_string().await.unwrap_or_default();
             let body = serde_json::from_str::<Value>(&body).unwrap();
             let expects = request.header("Expect-Instance").map(|value| value.last().as_str());
-            if expects != Some(self.id.as_str()) {
+            if expects != Some(self.id.as_str()) || self.state.lock().unwrap().is_called_in_vain() {
                 return Response::new(421);
             }
             if self.state.lock().unwrap().silent {
--- a/tests/schedule.rs
+++ b/tests/schedule.rs
@@ -11,7 +11,7 @@
 use fastrand::Rng;
 use gypsumkeel::batch::{Name, Outcome, Refusal};
 use gypsumkeel::clock::Millis;
-use gypsumkeel::schedule::{Capacity, Event, Leases, Trouble};
+use gypsumkeel::schedule::{Capacity, Event, Leases, Loss, Trouble};
 use model::{Fault, LEASE, Model, listing, spec};
 
 const SEED: u64 = 11;
@@ -252,7 +252,8 @@
     model.run(3000);
     model.thaw(0);
     model.run(6000);
-    let fenced = model.left.iter().filter(|(engine, _, fenced)| *engine == 0 && *fenced);
+    let fenced =
+        model.left.iter().filter(|(engine, _, loss)| (*engine, *loss) == (0, Loss::Fenced));
     assert_eq!(fenced.count(), 2);
     assert_eq!(model.got[&(0, 1)].outcome, Outcome::Interrupted);
 }
--- a/tests/schedule/model.rs
+++ b/tests/schedule/model.rs
@@ -9,8 +9,8 @@
 use gypsumkeel::batch::{Name, Outcome, Room, Spec, Step, Terms};
 use gypsumkeel::clock::Millis;
 use gypsumkeel::schedule::{
-    Action, Denial, Ended, Ending, Engine, Event, HoldAnswer, Listing, OrderAnswer, OrderId, Reply,
-    Rules, Running, Trouble,
+    Action, Denial, Ended, Ending, Engine, Event, HoldAnswer, Listing, Loss, OrderAnswer, OrderId,
+    Reply, Rules, Running, Trouble,
 };
 
 /// One way of a message, in milliseconds.
@@ -102,7 +102,7 @@
     pub ended: Vec<(usize, u64)>,
     pub owned: Vec<(usize, Arc<str>)>,
     pub distrusted: Vec<(Arc<str>, Trouble)>,
-    pub left: Vec<(usize, Arc<str>, bool)>,
+    pub left: Vec<(usize, Arc<str>, Loss)>,
     /// Engines that stand still: nothing reaches them until they go on.
     pub frozen: Vec<bool>,
     /// Engines that can't reach a target.
@@ -350,7 +350,7 @@
                 }
                 Action::Distrust { target, trouble, .. } => self.distrusted.push((target, trouble)),
                 Action::Owned { target } => self.owned.push((engine, target)),
-                Action::Left { target, fenced } => self.left.push((engine, target, fenced)),
+                Action::Left { target, loss } => self.left.push((engine, target, loss)),
                 call => {
                     self.add(self.now + DELAY, Item::Arrive { engine, action: call, late: false });
                 }
