--- a/tests/schedule.rs
+++ b/tests/schedule.rs
@@ -307,7 +307,7 @@
     model.run(3000);
     assert_eq!(model.outcome(1), Some(&Outcome::Done));
     assert_eq!(model.left.len(), 1);
-    assert!(!model.left[0].2);
+    assert_eq!(model.left[0].2, Loss::Released);
 }
 
 #[test]
