--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -107,7 +107,7 @@
     let replies = env.load(&others, 6, after(Duration::from_secs(4)));
     assert!(replies.iter().all(Option::is_some), "{replies:?}");
     env.vms[owner].signal(Signal::CONT);
-    wait_until("it yields", || env.vms[owner].said(&["event=target-left", "fenced=true"]));
+    wait_until("it yields", || env.vms[owner].said(&["event=target-left", "reason=fenced"]));
     let replies = env.load(&[0, 1, 2, 3], 6, after(Duration::from_secs(2)));
     let served = served(&replies);
     assert!(served * 10 > replies.len() * 9, "{replies:?}");
