--- a/src/platform/worker.rs
+++ b/src/platform/worker.rs
@@ -21,8 +21,8 @@
 /// under three across; a timeout that comes too soon costs one look.
 const ORDER_TIMEOUT: Millis = Millis(120);
 
-/// What an answer to a hold may take beyond its wait.
-const HOLD_SLACK: Millis = Millis(250);
+/// What an answer to a hold may take beyond its wait. Two holds in a row may get lost before the leases lapse.
+const HOLD_SLACK: Millis = Millis(120);
 
 /// How long a connection to a worker may take.
 const CONNECT_TIMEOUT: Millis = Millis(250);
--- a/src/schedule/engine.rs
+++ b/src/schedule/engine.rs
@@ -6,6 +6,7 @@
 use crate::batch::{Outcome, Refusal, Spec, Step};
 use crate::clock::Millis;
 
+use super::answers::Answers;
 use super::attempts::Attempts;
 use super::batch::{Job, Times};
 use super::capacity::Leases;
@@ -43,6 +44,8 @@
     pub(super) inflow: Inflow,
     pub(super) speeds: Speeds,
     pub(super) orders: HashMap<OrderId, Order>,
+    /// How long targets take to answer starts.
+    pub(super) answers: Answers,
     next_order: OrderId,
     /// Counts events, to tell what was sent before what.
     pub(super) turn: u64,
@@ -66,6 +69,7 @@
             inflow: Inflow::default(),
             speeds: Speeds::default(),
             orders: HashMap::new(),
+            answers: Answers::default(),
             next_order: 1,
             turn: 0,
             draining: false,
@@ -88,6 +92,7 @@
             Event::Take { target, round } => self.take(now, &target, round, actions),
             Event::Leave { target } => self.stop_taking(&target, actions),
             Event::Answer { order, reply } => self.answer(now, order, reply, actions),
+            Event::Overdue { order } => self.overdue(now, order, actions),
             Event::Rules(rules) => self.rules = rules,
             Event::Drain => self.drain(now, actions),
             Event::Tick => self.tick(now, actions),
--- a/src/schedule/event.rs
+++ b/src/schedule/event.rs
@@ -90,6 +90,11 @@
         /// How.
         reply: Reply,
     },
+    /// A start or a hold has been without an answer for far longer than usual, and may still be answered.
+    Overdue {
+        /// The call.
+        order: OrderId,
+    },
     /// The platform has changed its times and factors.
     Rules(Rules),
     /// This VM is being stopped: unstarted batches move on, and targets are released as they become idle.
--- a/src/schedule/hold.rs
+++ b/src/schedule/hold.rs
@@ -20,6 +20,9 @@
 /// The pause after a hold that was not answered.
 const PAUSE: Millis = Millis(100);
 
+/// The pause after a hold without an answer of a target that answers otherwise.
+const RETRY_PAUSE: Millis = Millis(10);
+
 /// How long after the expected end of a task a look asks for it, though a hold waits: holds get lost too.
 const LOOK_AFTER: Millis = Millis(60);
 
@@ -33,20 +36,32 @@
 /// The most tasks of other owners that are stopped at once.
 const STOPS_MAX: usize = 64;
 
+/// A hold as it was sent.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Sent {
+    /// The token under which it went.
+    pub fence: Fence,
+    /// The turn in which it went.
+    pub turn: u64,
+    pub at: Millis,
+}
+
 impl Engine {
     /// Sends the holds that a target is due.
     pub(super) fn tend(&mut self, now: Millis, number: usize, actions: &mut Vec<Action>) {
         let target = &self.targets[number];
-        let is_unclear = target.phase == Phase::Taking || target.unsure;
-        if target.phase == Phase::Free {
+        if target.phase == Phase::Free || now < target.hold_due {
             return;
         }
-        if is_unclear && target.quick_hold.is_none() && now >= target.hold_due {
+        let is_unclear = target.phase == Phase::Taking || target.unsure;
+        if (is_unclear || target.has_unsettled()) && target.quick_hold.is_none() {
             let is_probe = target.phase == Phase::Taking && target.unreached;
             let fence = if is_probe { Fence::default() } else { target.fence };
-            let order = self.hold_under(fence, number, None, Millis::ZERO, actions);
+            let order = self.hold_under(now, fence, number, None, Millis::ZERO, actions);
             self.targets[number].quick_hold = Some(order);
-        } else if !is_unclear && target.waiting_hold.is_none() {
+        }
+        let target = &self.targets[number];
+        if !is_unclear && target.waiting_hold.is_none() {
             let wait = if target.runs.is_empty() { WAIT_IDLE } else { WAIT_BUSY };
             // What another owner left running is not to live on.
             let renews = target.foreign.is_empty();
@@ -59,7 +74,7 @@
                 self.leases.late += u64::from(is_late && !target.runs.is_empty());
                 target.lapse_by = target.lapse_by.max(lapse);
             }
-            let order = self.hold(number, until, wait, actions);
+            let order = self.hold(now, number, until, wait, actions);
             self.targets[number].waiting_hold = Some(order);
         }
     }
@@ -68,27 +83,30 @@
     pub(super) fn look_for_ends(&mut self, now: Millis, number: usize, actions: &mut Vec<Action>) {
         let target = &self.targets[number];
         let is_quiet = target.phase == Phase::Owned && target.quick_hold.is_none();
-        let is_due = now >= target.heard + LOOK_EVERY && now >= target.hold_due;
         let mut ends = target.runs.iter().map(|run| run.sent + run.expected + LOOK_AFTER);
-        if is_quiet && is_due && ends.any(|end| end < now) {
-            let order = self.hold(number, None, Millis::ZERO, actions);
+        // A hold that was answered after the end was due has told that the task goes on.
+        let is_due = |end| end < now && (target.heard < end || now >= target.heard + LOOK_EVERY);
+        if is_quiet && now >= target.hold_due && ends.any(is_due) {
+            let order = self.hold(now, number, None, Millis::ZERO, actions);
             self.targets[number].quick_hold = Some(order);
         }
     }
 
     fn hold(
         &mut self,
+        now: Millis,
         number: usize,
         until: Option<Millis>,
         wait: Millis,
         actions: &mut Vec<Action>,
     ) -> OrderId {
         let fence = self.targets[number].fence;
-        self.hold_under(fence, number, until, wait, actions)
+        self.hold_under(now, fence, number, until, wait, actions)
     }
 
     fn hold_under(
         &mut self,
+        now: Millis,
         fence: Fence,
         number: usize,
         until: Option<Millis>,
@@ -96,7 +114,7 @@
         actions: &mut Vec<Action>,
     ) -> OrderId {
         let turn = self.turn;
-        let order = self.number_order(Order::Hold { target: number, fence, turn });
+        let order = self.number_order(Order::Hold { target: number, fence, turn, sent: now });
         let target = &self.targets[number];
         actions.push(Action::Hold {
             order,
@@ -114,17 +132,12 @@
         now: Millis,
         number: usize,
         order: OrderId,
-        (fence, turn): (Fence, u64),
+        sent: Sent,
         reply: Reply,
         actions: &mut Vec<Action>,
     ) {
         let target = &mut self.targets[number];
-        if target.waiting_hold == Some(order) {
-            target.waiting_hold = None;
-        }
-        if target.quick_hold == Some(order) {
-            target.quick_hold = None;
-        }
+        target.forget_hold(order);
         let is_contact = matches!(reply, Reply::Hold(_) | Reply::Denied { .. });
         if target.phase == Phase::Taking && target.unreached && is_contact {
             target.unreached = false;
@@ -132,8 +145,8 @@
             return;
         }
         match reply {
-            Reply::Hold(answer) => self.held(now, number, (fence, turn), &answer, actions),
-            Reply::Denied { denial: Denial::Fence, .. } if fence == target.fence => {
+            Reply::Hold(answer) => self.held(now, number, sent, &answer, actions),
+            Reply::Denied { denial: Denial::Fence, .. } if sent.fence == target.fence => {
                 match target.phase {
                     // The former owner's round is not known: double until it is passed.
                     Phase::Taking => target.fence = target.fence.at(target.fence.round * 2 + 1),
@@ -145,6 +158,10 @@
             Reply::Denied { denial: Denial::OtherLife, .. } if target.phase != Phase::Free => {
                 self.leave(number, Loss::Replaced, actions);
             }
+            // Its answer got lost, or it did: the target has answered something else since, and lives.
+            Reply::Lost if target.has_answered_since(sent.at) => {
+                target.hold_due = now + RETRY_PAUSE;
+            }
             _ => {
                 target.unsure = true;
                 target.unreached = target.phase == Phase::Taking;
@@ -158,10 +175,11 @@
         &mut self,
         now: Millis,
         number: usize,
-        (fence, turn): (Fence, u64),
+        sent: Sent,
         answer: &HoldAnswer,
         actions: &mut Vec<Action>,
     ) {
+        let Sent { fence, .. } = sent;
         let target = &mut self.targets[number];
         if let Some(life) = answer.life.filter(|&life| life > target.life) {
             self.born_again(now, number, life, actions);
@@ -183,7 +201,7 @@
                 self.ended(now, number, (&end.name, end.run), end.ending, actions);
             }
         }
-        self.settle_absent(now, number, (fence, turn), &answer.running);
+        self.settle_absent(now, number, sent, &answer.running);
         self.note_progress(now, number, &answer.running);
         self.stop_stalled(now, number, actions);
         self.stop_strays(number, &answer.running, actions);
@@ -194,11 +212,12 @@
         &mut self,
         now: Millis,
         number: usize,
-        (fence, turn): (Fence, u64),
+        Sent { fence, turn, at }: Sent,
         running: &[Running],
     ) {
         let target = &mut self.targets[number];
         let mut gone = Vec::new();
+        let mut is_missing = false;
         for run in &mut target.runs {
             let listed =
                 running.iter().any(|listed| listed.run == run.attempt && listed.name == run.name);
@@ -206,6 +225,8 @@
                 run.state = State::Running;
                 run.confirmed = self.turn;
             }
+            let is_overdue = run.state == State::Ordered && run.overdue;
+            is_missing |= is_overdue && !listed && run.fence == fence && run.ordered < turn;
             // Under a higher token than the start's, what has not arrived yet is refused.
             let is_refuted = run.state == State::Ordered && run.fence < fence;
             let is_known = run.confirmed > 0 && run.confirmed < turn;
@@ -214,6 +235,9 @@
                 gone.push((run.name.clone(), run.attempt));
             }
         }
+        if is_missing && fence == target.fence {
+            target.raise(at);
+        }
         for (name, run) in gone {
             self.refute(now, number, &name, run);
         }
--- a/src/schedule/mod.rs
+++ b/src/schedule/mod.rs
@@ -3,6 +3,7 @@
 //! It takes events with the time and returns actions; it does no I/O, reads no clock and starts no thread.
 //! Answers may come late, twice, in any order or never.
 
+mod answers;
 mod attempts;
 mod batch;
 mod capacity;
--- a/src/schedule/order.rs
+++ b/src/schedule/order.rs
@@ -9,6 +9,7 @@
 use super::engine::{Engine, scaled};
 use super::event::{Action, Denial, JobId, Loss, OrderId, Reply};
 use super::fence::Fence;
+use super::hold::Sent;
 use super::stall::Progress;
 use super::target::{Phase, Run, State};
 
@@ -17,7 +18,7 @@
 pub(super) enum Order {
     Start { target: usize, name: Name, run: u32, fence: Fence },
     Stop { target: usize, name: Name, run: u32, fence: Fence },
-    Hold { target: usize, fence: Fence, turn: u64 },
+    Hold { target: usize, fence: Fence, turn: u64, sent: Millis },
 }
 
 impl Engine {
@@ -38,8 +39,9 @@
                 self.stop_answered(now, target, (&name, run), fence, &reply, actions);
                 target
             }
-            Order::Hold { target, fence, turn } => {
-                self.hold_answered(now, target, order, (fence, turn), reply, actions);
+            Order::Hold { target, fence, turn, sent } => {
+                let sent = Sent { fence, turn, at: sent };
+                self.hold_answered(now, target, order, sent, reply, actions);
                 target
             }
         };
@@ -87,6 +89,8 @@
             declared: step.estimate,
             far,
             slowness,
+            ordered: self.turn,
+            overdue: false,
             confirmed: 0,
             orphan: false,
             progress: Progress::default(),
@@ -147,6 +151,7 @@
                 target.read_clock(answer.clock, now);
                 if let Some(index) = target.find(name, run) {
                     let run = &mut target.runs[index];
+                    self.answers.note(now - run.sent);
                     run.confirmed = turn;
                     if run.state == State::Ordered {
                         run.state = State::Running;
@@ -164,9 +169,40 @@
                 target.unsure = true;
                 self.refute(now, number, name, run);
             }
-            // The next look, under a higher token, shows whether it arrived.
-            Reply::Lost | Reply::Hold(_) => target.raise(),
+            // The next look, under a higher token, shows whether it arrived, unless one has shown it already.
+            Reply::Lost | Reply::Hold(_) => {
+                let Some(index) = target.find(name, run) else { return };
+                let Run { state, fence, sent, .. } = target.runs[index];
+                if state == State::Ordered && fence == target.fence {
+                    target.raise(sent);
+                }
+            }
+        }
+    }
+
+    /// Has a target asked whether a start arrived that it has not answered yet, or sends another hold beside one.
+    pub(super) fn overdue(&mut self, now: Millis, order: OrderId, actions: &mut Vec<Action>) {
+        if !self.answers.are_quick() {
+            return;
         }
+        let number = match self.orders.get(&order) {
+            Some(Order::Start { target, name, run, .. }) => {
+                let known = &mut self.targets[*target];
+                let Some(index) = known.find(name, *run) else { return };
+                known.runs[index].overdue = true;
+                *target
+            }
+            Some(Order::Hold { target, .. }) => {
+                let known = &mut self.targets[*target];
+                if known.phase != Phase::Owned || known.unsure {
+                    return;
+                }
+                known.forget_hold(order);
+                *target
+            }
+            Some(Order::Stop { .. }) | None => return,
+        };
+        self.tend(now, number, actions);
     }
 
     fn start_denied(
@@ -266,7 +302,7 @@
             }
             Reply::Denied { .. } | Reply::Unsent | Reply::Lost | Reply::Hold(_) => {
                 // The next look shows what runs, and what should not is stopped again.
-                target.raise();
+                target.raise(now);
                 target.foreign.retain(|known| (&known.0, known.1) != (name, run));
                 if let Some(index) = index {
                     target.runs[index].state = State::Running;
--- a/src/schedule/target.rs
+++ b/src/schedule/target.rs
@@ -92,6 +92,10 @@
     pub declared: Millis,
     pub far: bool,
     pub slowness: f64,
+    /// The turn at which it was ordered.
+    pub ordered: u64,
+    /// Whether the answer to its start is overdue: a look is to show whether it arrived.
+    pub overdue: bool,
     /// The turn at which the target confirmed the state.
     pub confirmed: u64,
     /// Whether nobody waits for it any longer.
@@ -173,15 +177,33 @@
         self.clock = Some(Reading { clock, at: now });
     }
 
+    /// Lets another hold be sent in the place of one.
+    pub fn forget_hold(&mut self, order: OrderId) {
+        self.waiting_hold.take_if(|hold| *hold == order);
+        self.quick_hold.take_if(|hold| *hold == order);
+    }
+
+    /// Whether any call was answered since `time`.
+    pub fn has_answered_since(&self, time: Millis) -> bool {
+        self.clock.is_some_and(|reading| reading.at > time)
+    }
+
     /// The run of a task.
     pub fn find(&self, name: &Name, run: u32) -> Option<usize> {
         self.runs.iter().position(|known| known.attempt == run && known.name == *name)
     }
 
-    /// Raises the token, so that whatever was sent under the old one and has not arrived is refused.
-    pub fn raise(&mut self) {
+    /// Whether a look is due to settle a start without an answer.
+    pub fn has_unsettled(&self) -> bool {
+        let is_unsettled = |run: &Run| run.overdue || run.fence < self.fence;
+        self.runs.iter().any(|run| run.state == State::Ordered && is_unsettled(run))
+    }
+
+    /// Raises the token, so that whatever was sent under the old one and has not arrived is refused. The target is
+    /// used meanwhile if it has answered anything since `sent`: what is not settled keeps its room.
+    pub fn raise(&mut self, sent: Millis) {
         self.fence = self.fence.at(self.fence.round + 1);
-        self.unsure = true;
+        self.unsure |= !self.has_answered_since(sent);
     }
 }
 
--- a/src/vm/calls.rs
+++ b/src/vm/calls.rs
@@ -2,15 +2,22 @@
 
 use std::sync::{Arc, PoisonError};
 
+use smol::Timer;
+use smol::future::FutureExt as _;
+
 use crate::batch::Name;
 use crate::clock::Millis;
 use crate::event;
-use crate::metrics::{Counter, Timer};
+use crate::metrics::{Counter, Timer as Timing};
 use crate::runtime;
-use crate::schedule::{Action, Event, Fence, Reply};
+use crate::schedule::{Action, Event, Fence, OrderId, Reply};
 
+use super::adapter::Calling;
 use super::node::Node;
 
+/// The time after which an answer is overdue, the wait that was asked for aside. Nearly all come within half of it.
+const OVERDUE: Millis = Millis(40);
+
 impl Node {
     /// Makes a call to a target, and gives its answer to the scheduler.
     pub(super) fn call(self: &Arc<Self>, action: Action) {
@@ -25,20 +32,31 @@
         };
         self.metrics.count(counter);
         let asked = Asked::of(&action);
+        let target_id = Arc::clone(target);
         let is_start = matches!(action, Action::Start { .. });
+        let overdue = match &action {
+            Action::Start { .. } => Some(OVERDUE),
+            Action::Hold { wait, .. } => Some(*wait + OVERDUE),
+            _ => None,
+        };
         let runners = self.runners.lock().unwrap_or_else(PoisonError::into_inner);
         let Some(reached) = runners.get(target) else { return };
         let calling = Arc::clone(&reached.runner).call(action);
         drop(runners);
         let (node, sent) = (Arc::clone(self), self.now());
         runtime::spawn(async move {
-            let reply = calling.await;
+            let reply = match overdue {
+                Some(overdue) => node.answer_to(order, calling, overdue).await,
+                None => calling.await,
+            };
             let took = node.now() - sent;
             if is_start {
-                node.metrics.time(Timer::Start, took);
+                node.metrics.time(Timing::Start, took);
             }
             if let Some(asked) = asked {
                 asked.log(&reply, took);
+            } else if !matches!(reply, Reply::Order(_) | Reply::Hold(_)) {
+                event!(debug, "target-hold", target = target_id, outcome = reply, ms = took.0);
             }
             match reply {
                 Reply::Lost | Reply::Unsent => node.metrics.count(Counter::LeasedLost),
@@ -49,6 +67,25 @@
         })
         .detach();
     }
+
+    /// Waits for the answer to a call, and tells the scheduler when it is overdue.
+    async fn answer_to(
+        self: &Arc<Self>,
+        order: OrderId,
+        mut calling: Calling,
+        overdue: Millis,
+    ) -> Reply {
+        let answer = async { Some((&mut calling).await) };
+        let late = async {
+            Timer::after(overdue.duration()).await;
+            None
+        };
+        if let Some(reply) = answer.or(late).await {
+            return reply;
+        }
+        self.handle(Event::Overdue { order });
+        calling.await
+    }
 }
 
 /// A start or a stop, as the log tells of it.
--- a/tests/schedule.rs
+++ b/tests/schedule.rs
@@ -107,6 +107,63 @@
     assert!(told && !model.distrusted.is_empty(), "{:?}", model.distrusted);
 }
 
+/// A start that got lost, or arrives seconds late, is sent elsewhere long before its call has timed out.
+#[test]
+fn a_start_that_did_not_arrive_is_sent_again_soon() {
+    for lates in [1, 2] {
+        let mut model = world(2);
+        model.submit(100, 0, 1, spec("j1", 1, 8, 60), 60, 5000);
+        model.run(500);
+        for server in 0..lates {
+            model.fault(900, server, Fault { late: 100, ..Fault::default() });
+            model.fault(1020, server, Fault::default());
+        }
+        model.submit(1000, 0, 2, spec("j2", 4, 8, 60), 60, 5000);
+        model.run(8000);
+        assert_eq!(model.outcome(2), Some(&Outcome::Done));
+        let took = model.got[&(0, 2)].at - 1000;
+        assert!(took < 180, "{took} ms with {lates} of 2 targets late");
+    }
+}
+
+/// A look shows that the start arrived: its target is used all the while.
+#[test]
+fn an_answer_that_was_lost_stops_no_target() {
+    let mut model = world(1);
+    model.submit(100, 0, 1, spec("j1", 1, 4, 60), 60, 5000);
+    model.run(500);
+    model.fault(900, 0, Fault { unanswered: 100, ..Fault::default() });
+    model.fault(1020, 0, Fault::default());
+    model.submit(1000, 0, 2, spec("j2", 1, 4, 1000), 1000, 5000);
+    model.run(1100);
+    let token = model.servers[0].fence();
+    model.submit(1302, 0, 3, spec("j3", 1, 4, 100), 100, 5000);
+    model.run(6000);
+    assert_eq!(model.got[&(0, 3)].at, 1302 + 100 + 2);
+    assert_eq!(model.servers[0].fence(), token, "the token was raised");
+}
+
+/// A fifth of all calls gets no answer, and a fifth of the starts arrive seconds late, at half of what the targets can do.
+#[test]
+fn lost_answers_cost_little_room() {
+    let mut model = world(6);
+    for server in 0..6 {
+        model.fault(500, server, Fault { lost: 20, late: 20, ..Fault::default() });
+    }
+    let objective = 1.6 * 100.0 + 60.0;
+    let jobs = 1..=120;
+    for job in jobs.clone() {
+        model.submit(1000 + job * 50, 0, job, spec(&format!("j{job}"), 3, 7, 100), 100, 5000);
+    }
+    model.run(20_000);
+    let took = |job| model.got[&(0, job)].at - (1000 + job * 50);
+    let in_time = jobs
+        .clone()
+        .filter(|&job| model.outcome(job) == Some(&Outcome::Done) && took(job) as f64 <= objective);
+    let share = in_time.count() as f64 / jobs.count() as f64;
+    assert!(share > 0.9, "{share} in time");
+}
+
 #[test]
 fn a_long_task_is_not_taken_for_one_that_stands_still() {
     let mut model = world(4);
--- a/tests/schedule/model.rs
+++ b/tests/schedule/model.rs
@@ -22,6 +22,9 @@
 /// How long a call may go unanswered, in milliseconds.
 const TIMEOUT: u64 = 300;
 
+/// When a start or a hold counts as overdue, its own wait aside, in milliseconds.
+const OVERDUE: u64 = 40;
+
 /// What a target does wrong.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Fault {
@@ -35,6 +38,8 @@
     pub lost: u64,
     /// Of 100 starts, so many get no answer and arrive seconds later.
     pub late: u64,
+    /// Of 100 starts, so many are executed and get no answer.
+    pub unanswered: u64,
 }
 
 /// A task on a target.
@@ -352,6 +357,14 @@
                 Action::Owned { target } => self.owned.push((engine, target)),
                 Action::Left { target, loss } => self.left.push((engine, target, loss)),
                 call => {
+                    let overdue = match &call {
+                        Action::Start { order, .. } => Some((*order, 0)),
+                        Action::Hold { order, wait, .. } => Some((*order, wait.0)),
+                        _ => None,
+                    };
+                    if let Some((order, wait)) = overdue {
+                        self.event(self.now + wait + OVERDUE, engine, Event::Overdue { order });
+                    }
                     self.add(self.now + DELAY, Item::Arrive { engine, action: call, late: false });
                 }
             }
@@ -373,16 +386,15 @@
         let (number, order) = self.server_of(&action);
         let fault = self.servers[number].fault;
         if fault.silent || self.cuts.contains(&(engine, number)) {
-            let reply = Reply::Lost;
-            self.add(self.now + TIMEOUT, Item::Give { engine, order, reply });
+            self.lose(engine, order);
             return;
         }
         let draw = self.random.u64(..100);
         let is_start = matches!(action, Action::Start { .. });
         if is_start && !late && draw < fault.late {
+            self.lose(engine, order);
             let at = self.now + 2000 + self.random.u64(..3000);
             self.add(at, Item::Arrive { engine, action, late: true });
-            self.add(self.now + TIMEOUT, Item::Give { engine, order, reply: Reply::Lost });
             return;
         }
         self.look(number);
@@ -390,16 +402,20 @@
         if late {
             return;
         }
-        let is_lost = draw >= fault.late && draw < fault.late + fault.lost;
+        let is_unanswered = is_start && draw < fault.unanswered;
+        let is_lost = is_unanswered || (draw >= fault.late && draw < fault.late + fault.lost);
         match reply {
-            Some(_) if is_lost => {
-                self.add(self.now + TIMEOUT, Item::Give { engine, order, reply: Reply::Lost });
-            }
+            Some(_) if is_lost => self.lose(engine, order),
             Some(reply) => self.add(self.now + DELAY, Item::Give { engine, order, reply }),
             None => {}
         }
     }
 
+    /// Lets a call time out.
+    fn lose(&mut self, engine: usize, order: OrderId) {
+        self.add(self.now + TIMEOUT, Item::Give { engine, order, reply: Reply::Lost });
+    }
+
     /// Carries out a call; nothing is answered yet to a hold that waits.
     fn carry_out(&mut self, number: usize, engine: usize, action: &Action) -> Option<Reply> {
         let now = self.now;
@@ -600,6 +616,11 @@
         }
     }
 
+    /// The highest token that it has seen.
+    pub const fn fence(&self) -> u64 {
+        self.fence
+    }
+
     /// Notes a start of another VM, long ago.
     pub fn had_start(&mut self, name: Name, run: u32) {
         self.past.push((name, run));
