--- a/src/schedule/end.rs
+++ b/src/schedule/end.rs
@@ -11,13 +11,13 @@
 use super::target::{Phase, Run};
 
 impl Engine {
-    /// Takes the end of a run.
+    /// Takes the end of a run, and whether it is told of as it happens.
     pub(super) fn ended(
         &mut self,
         now: Millis,
         number: usize,
         (name, run): (&Name, u32),
-        ending: Ending,
+        (ending, is_fresh): (Ending, bool),
         actions: &mut Vec<Action>,
     ) {
         let target = &mut self.targets[number];
@@ -29,7 +29,12 @@
             return;
         }
         match ending {
-            Ending::Done => self.task_done(now, number, &run, actions),
+            Ending::Done => {
+                if is_fresh {
+                    self.learn(now, number, &run);
+                }
+                self.task_done(now, number, &run, actions);
+            }
             Ending::Failed => {
                 self.targets[number].health.fail(now, run.job);
                 self.distrust(now, number, (&run.name, run.attempt), Trouble::Failed, actions);
@@ -39,17 +44,22 @@
         }
     }
 
-    fn task_done(&mut self, now: Millis, number: usize, run: &Run, actions: &mut Vec<Action>) {
-        let Some(job) = self.jobs.get_mut(&run.job) else { return };
+    /// Learns from how long a run took.
+    fn learn(&mut self, now: Millis, number: usize, run: &Run) {
+        let Some(job) = self.jobs.get(&run.job) else { return };
         let far_factor = if run.far { self.rules.far_factor } else { 1.0 };
         let measured = now - run.sent;
         let sample =
             Sample { measured, declared: run.declared, far_factor, slowness: run.slowness };
         let target = &mut self.targets[number];
-        target.health.succeed();
         let kind = target.listing.labels.first();
         self.speeds.learn(&mut target.track, kind, &job.spec.queue, sample);
         target.slowness = self.speeds.slowness(&target.track, target.kind());
+    }
+
+    fn task_done(&mut self, now: Millis, number: usize, run: &Run, actions: &mut Vec<Action>) {
+        let Some(job) = self.jobs.get_mut(&run.job) else { return };
+        self.targets[number].health.succeed();
         if job.finish(run.task) {
             self.end(run.job, Outcome::Done, actions);
         } else {
--- a/src/schedule/hold.rs
+++ b/src/schedule/hold.rs
@@ -24,7 +24,7 @@
 const RETRY_PAUSE: Millis = Millis(10);
 
 /// How long after the expected end of a task a look asks for it, though a hold waits: holds get lost too.
-const LOOK_AFTER: Millis = Millis(60);
+const LOOK_AFTER: Millis = Millis(40);
 
 /// The pause between two such looks.
 const LOOK_EVERY: Millis = Millis(150);
@@ -43,7 +43,10 @@
     pub fence: Fence,
     /// The turn in which it went.
     pub turn: u64,
+    /// When it went.
     pub at: Millis,
+    /// Whether it waited for an end, which then has just come.
+    pub waits: bool,
 }
 
 impl Engine {
@@ -113,8 +116,8 @@
         wait: Millis,
         actions: &mut Vec<Action>,
     ) -> OrderId {
-        let turn = self.turn;
-        let order = self.number_order(Order::Hold { target: number, fence, turn, sent: now });
+        let sent = Sent { fence, turn: self.turn, at: now, waits: wait > Millis::ZERO };
+        let order = self.number_order(Order::Hold { target: number, sent });
         let target = &self.targets[number];
         actions.push(Action::Hold {
             order,
@@ -198,7 +201,8 @@
         for end in &answer.ended {
             if end.number > self.targets[number].seen {
                 self.targets[number].seen = end.number;
-                self.ended(now, number, (&end.name, end.run), end.ending, actions);
+                let run = (&end.name, end.run);
+                self.ended(now, number, run, (end.ending, sent.waits), actions);
             }
         }
         self.settle_absent(now, number, sent, &answer.running);
@@ -212,7 +216,7 @@
         &mut self,
         now: Millis,
         number: usize,
-        Sent { fence, turn, at }: Sent,
+        Sent { fence, turn, at, .. }: Sent,
         running: &[Running],
     ) {
         let target = &mut self.targets[number];
--- a/src/schedule/order.rs
+++ b/src/schedule/order.rs
@@ -18,7 +18,7 @@
 pub(super) enum Order {
     Start { target: usize, name: Name, run: u32, fence: Fence },
     Stop { target: usize, name: Name, run: u32, fence: Fence },
-    Hold { target: usize, fence: Fence, turn: u64, sent: Millis },
+    Hold { target: usize, sent: Sent },
 }
 
 impl Engine {
@@ -39,8 +39,7 @@
                 self.stop_answered(now, target, (&name, run), fence, &reply, actions);
                 target
             }
-            Order::Hold { target, fence, turn, sent } => {
-                let sent = Sent { fence, turn, at: sent };
+            Order::Hold { target, sent } => {
                 self.hold_answered(now, target, order, sent, reply, actions);
                 target
             }
--- a/src/vm/calls.rs
+++ b/src/vm/calls.rs
@@ -15,8 +15,8 @@
 use super::adapter::Calling;
 use super::node::Node;
 
-/// The time after which an answer is overdue, the wait that was asked for aside. Nearly all come within half of it.
-const OVERDUE: Millis = Millis(40);
+/// The time after which an answer is overdue, the wait that was asked for aside. All but one of a thousand come sooner.
+const OVERDUE: Millis = Millis(30);
 
 impl Node {
     /// Makes a call to a target, and gives its answer to the scheduler.
--- a/tests/schedule/model.rs
+++ b/tests/schedule/model.rs
@@ -23,7 +23,7 @@
 const TIMEOUT: u64 = 300;
 
 /// When a start or a hold counts as overdue, its own wait aside, in milliseconds.
-const OVERDUE: u64 = 40;
+const OVERDUE: u64 = 30;
 
 /// What a target does wrong.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
