Test a store that serves some, late changes, silent connections, and VMs that come and are replaced

Each VM of the platform's environment now has a proxy of its own before the store. Shown failing with a mechanism taken out: a VM that the store turns away (VMs don't tell each other of newer routes), a VM that comes (owners are not heeded), silent connections (no time-out of a watch), a VM that replaces another (targets are taken only by a registration of before). Not shown so: late changes, whose harm the store's own leases prevent.

--- a/tests/platform/kv.rs
+++ b/tests/platform/kv.rs
@@ -9,6 +9,7 @@
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
 use gypsumkeel::http::server::Handler;
+use gypsumkeel::runtime;
 use http_types::{Method, Request, Response};
 use serde_json::{Value, json};
 use smol::Timer;
@@ -32,6 +33,8 @@
     down: Mutex<bool>,
     /// The answers to so many of the next changes are dropped after they took effect.
     lost: Mutex<u32>,
+    /// Changes get no answer, and take effect so much later.
+    late: Mutex<Option<Duration>>,
 }
 
 #[derive(Debug, Default)]
@@ -78,6 +81,11 @@
         *self.state.lost.lock().unwrap() = answers;
     }
 
+    /// Leaves changes unanswered, and makes them later.
+    pub fn set_late(&self, late: Option<Duration>) {
+        *self.state.late.lock().unwrap() = late;
+    }
+
     /// Forgets all history: watches from before get 410.
     pub fn compact(&self) {
         let mut items = self.state.items.lock().unwrap();
@@ -207,7 +215,17 @@
         }
     }
 
-    async fn change(&self, path: &str, body: &Value) -> Response {
+    async fn change(self: Arc<Self>, path: &str, body: &Value) -> Response {
+        let late = *self.0.late.lock().unwrap();
+        if let Some(late) = late {
+            let (path, body) = (path.to_owned(), body.clone());
+            runtime::spawn(async move {
+                Timer::after(late).await;
+                drop(self.apply(&path, &body));
+            })
+            .detach();
+            return smol::future::pending().await;
+        }
         let response = self.apply(path, body);
         let is_lost = {
             let mut lost = self.0.lost.lock().unwrap();
--- a/tests/platform/mod.rs
+++ b/tests/platform/mod.rs
@@ -3,6 +3,8 @@
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
 pub mod kv;
+#[path = "../testenv/mod.rs"]
+mod testenv;
 pub mod worker;
 
 use std::fs;
@@ -25,6 +27,8 @@
 use smol::net::TcpListener;
 
 use kv::Kv;
+#[allow(unused_imports, reason = "each test file uses a part of it")]
+pub use testenv::{Proxy, Way};
 use worker::{Ledger, Worker};
 
 /// How long anything may take that a test waits for.
@@ -72,6 +76,8 @@
     pub workers: Vec<Worker>,
     pub ledger: Arc<Ledger>,
     pub vms: Vec<Vm>,
+    /// Between each VM and the store.
+    pub store_proxies: Vec<Proxy>,
     domains: Vec<String>,
     directory: PathBuf,
     arguments: &'static [&'static str],
@@ -113,6 +119,7 @@
             workers: all,
             ledger,
             vms: Vec::new(),
+            store_proxies: Vec::new(),
             domains: domains.iter().flat_map(|d| vec![(*d).to_owned(); vms]).collect(),
             directory,
             arguments,
@@ -120,6 +127,7 @@
         };
         env.configure(1, PREFIX);
         for index in 0..env.domains.len() {
+            env.store_proxies.push(Proxy::start(Some(env.store.address)));
             let vm = env.launch(index);
             env.vms.push(vm);
         }
@@ -168,10 +176,21 @@
             "seeds": [SocketAddr::new(self.ip(0), 8166)],
             "bounds": { "holdMaxMs": 1000, "farX": 2, "graceS": 6, "unknown": true },
             "orders": "call",
-            "platform": { "addr": self.store.address, "form": "kv", "writesPerS": 400 },
+            "platform": { "addr": self.store_proxies[index].address, "form": "kv", "writesPerS": 400 },
         })
     }
 
+    /// Adds a VM at a new address, and waits until it is ready. Gives its number.
+    pub fn add(&mut self, domain: &str) -> usize {
+        let index = self.domains.len();
+        self.domains.push(domain.to_owned());
+        self.store_proxies.push(Proxy::start(Some(self.store.address)));
+        let vm = self.launch(index);
+        self.vms.push(vm);
+        wait_until("the new VM is ready", || self.is_ready(index));
+        index
+    }
+
     /// Starts the process of a VM.
     pub fn launch(&self, index: usize) -> Vm {
         let file = self.directory.join(format!("{index}.json"));
