--- a/src/schedule/hold.rs
+++ b/src/schedule/hold.rs
@@ -23,7 +23,7 @@
 /// The pause after a hold without an answer of a target that answers otherwise.
 const RETRY_PAUSE: Millis = Millis(10);
 
-/// How long after the expected end of a task a look asks for it, though a hold waits: holds get lost too.
+/// How long after the expected end of a task a look asks for it, though a hold waits: holds get lost.
 const LOOK_AFTER: Millis = Millis(40);
 
 /// The pause between two such looks.
@@ -58,28 +58,40 @@
         }
         let is_unclear = target.phase == Phase::Taking || target.unsure;
         if (is_unclear || target.has_unsettled()) && target.quick_hold.is_none() {
-            let is_probe = target.phase == Phase::Taking && target.unreached;
-            let fence = if is_probe { Fence::default() } else { target.fence };
-            let order = self.hold_under(now, fence, number, None, Millis::ZERO, actions);
-            self.targets[number].quick_hold = Some(order);
+            self.look(now, number, actions);
         }
+        if !is_unclear && self.targets[number].waiting_hold.is_none() {
+            self.renew(now, number, actions);
+        }
+    }
+
+    /// Asks a target at once what runs there.
+    fn look(&mut self, now: Millis, number: usize, actions: &mut Vec<Action>) {
         let target = &self.targets[number];
-        if !is_unclear && target.waiting_hold.is_none() {
-            let wait = if target.runs.is_empty() { WAIT_IDLE } else { WAIT_BUSY };
-            // What another owner left running is not to live on.
-            let renews = target.foreign.is_empty();
-            let until = target.clock_at(now).filter(|_| renews);
-            let until = until.map(|clock| clock + self.rules.lease_max);
-            let lapse = self.lapse(now);
-            let target = &mut self.targets[number];
-            if until.is_some() {
-                let is_late = target.lapse_by < now + Millis(self.rules.lease_max.0 / 2);
-                self.leases.late += u64::from(is_late && !target.runs.is_empty());
-                target.lapse_by = target.lapse_by.max(lapse);
-            }
-            let order = self.hold(now, number, until, wait, actions);
-            self.targets[number].waiting_hold = Some(order);
+        let is_probe = target.phase == Phase::Taking && target.unreached;
+        let fence = if is_probe { Fence::default() } else { target.fence };
+        let order = self.hold(now, fence, number, None, Millis::ZERO, actions);
+        self.targets[number].quick_hold = Some(order);
+    }
+
+    /// Renews the leases on a target, and waits there for an end.
+    fn renew(&mut self, now: Millis, number: usize, actions: &mut Vec<Action>) {
+        let target = &self.targets[number];
+        let fence = target.fence;
+        let wait = if target.runs.is_empty() { WAIT_IDLE } else { WAIT_BUSY };
+        // What another owner left running is not to live on.
+        let renews = target.foreign.is_empty();
+        let until = target.clock_at(now).filter(|_| renews);
+        let until = until.map(|clock| clock + self.rules.lease_max);
+        let lapse = self.lapse(now);
+        let target = &mut self.targets[number];
+        if until.is_some() {
+            let is_late = target.lapse_by < now + Millis(self.rules.lease_max.0 / 2);
+            self.leases.late += u64::from(is_late && !target.runs.is_empty());
+            target.lapse_by = target.lapse_by.max(lapse);
         }
+        let order = self.hold(now, fence, number, until, wait, actions);
+        self.targets[number].waiting_hold = Some(order);
     }
 
     /// Asks a target for the end of a task that should have come.
@@ -90,24 +102,11 @@
         // A hold that was answered after the end was due has told that the task goes on.
         let is_due = |end| end < now && (target.heard < end || now >= target.heard + LOOK_EVERY);
         if is_quiet && now >= target.hold_due && ends.any(is_due) {
-            let order = self.hold(now, number, None, Millis::ZERO, actions);
-            self.targets[number].quick_hold = Some(order);
+            self.look(now, number, actions);
         }
     }
 
     fn hold(
-        &mut self,
-        now: Millis,
-        number: usize,
-        until: Option<Millis>,
-        wait: Millis,
-        actions: &mut Vec<Action>,
-    ) -> OrderId {
-        let fence = self.targets[number].fence;
-        self.hold_under(now, fence, number, until, wait, actions)
-    }
-
-    fn hold_under(
         &mut self,
         now: Millis,
         fence: Fence,
