Let the largest VMs own the targets, each in proportion to its share of a core

Cause: owners were drawn by hash alone. Change: a VM tells its share in its registration and its link; the largest are the owners, and weighted rendezvous hashing shares the targets out. Where all are alike or none tells, the choice is as before (the tests of ownership are unchanged). Ownership stays a matter of availability: the target's token decides.

--- a/src/membership/view.rs
+++ b/src/membership/view.rs
@@ -25,6 +25,9 @@
     pub peers: SocketAddr,
     /// Whether it is being stopped and takes no new work.
     pub draining: bool,
+    /// Thousandths of a core that it may use; 0 if it does not say.
+    #[serde(default)]
+    pub cpu: u32,
 }
 
 /// How new a part of the view is.
--- a/src/ownership/mod.rs
+++ b/src/ownership/mod.rs
@@ -4,6 +4,7 @@
 //! here are about availability alone: an owner that is alive keeps what it has, and what has no owner is taken
 //! by the VM that all would choose.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -56,6 +57,8 @@
     pub presence: Presence,
     /// Whether it is being stopped.
     pub draining: bool,
+    /// Thousandths of a core that it may use; 0 if it does not say.
+    pub cpu: u32,
     /// What it says that it owns; `None` until it has said anything.
     pub owns: Option<BTreeSet<Arc<str>>>,
     /// When it was heard of first.
@@ -99,6 +102,7 @@
     vm: Arc<str>,
     address: SocketAddr,
     domain: Arc<str>,
+    cpu: u32,
     peers: BTreeMap<Incarnation, Peer>,
     /// What VMs said, which may come before anything else is known of them.
     said: BTreeMap<Incarnation, Said>,
@@ -120,6 +124,7 @@
             vm: Arc::from(vm),
             address,
             domain: Arc::from(domain),
+            cpu: 0,
             peers: BTreeMap::new(),
             said: BTreeMap::new(),
             targets: BTreeMap::new(),
@@ -132,6 +137,12 @@
         }
     }
 
+    /// The same where this VM may use `cpu` thousandths of a core.
+    #[must_use]
+    pub fn with_cpu(self, cpu: u32) -> Self {
+        Self { cpu, ..self }
+    }
+
     /// Replaces what is known of the other VMs. What they said stays known as long as they are.
     pub fn set_peers(&mut self, now: Millis, peers: impl IntoIterator<Item = (Incarnation, Peer)>) {
         let old = std::mem::take(&mut self.peers);
@@ -301,22 +312,43 @@
         })
     }
 
-    /// The VMs that should own the targets of a domain: `count` of its own, or of all where it has none.
-    fn owners(&self, now: Millis, domain: &str, is_foreign: bool, count: usize) -> Vec<Arc<str>> {
+    /// The VMs that should own the targets of a domain: `count` of its own, or of all where it has none. The largest
+    /// are taken, since the decisions of an owner cost processor time.
+    fn owners(&self, now: Millis, domain: &str, is_foreign: bool, count: usize) -> Vec<Owner> {
         let usable = self.alive(now).filter(|(_, peer)| !peer.draining);
         let usable = usable.filter(|(_, peer)| is_foreign || *peer.domain == *domain);
-        let mut vms = usable.map(|(_, peer)| Arc::clone(&peer.vm)).collect::<Vec<_>>();
-        vms.push(Arc::clone(&self.vm));
-        vms.sort_by_key(|vm| (std::cmp::Reverse(weight(domain, vm)), Arc::clone(vm)));
-        vms.dedup();
-        vms.truncate(count.max(1));
-        vms
+        let owner = |(_, peer): (_, &Peer)| Owner { vm: Arc::clone(&peer.vm), cpu: peer.cpu };
+        let mut owners = usable.map(owner).collect::<Vec<_>>();
+        owners.push(Owner { vm: Arc::clone(&self.vm), cpu: self.cpu });
+        owners.sort_by_key(|owner| {
+            (Reverse(owner.cpu), Reverse(weight(domain, &owner.vm)), Arc::clone(&owner.vm))
+        });
+        owners.dedup_by(|one, other| one.vm == other.vm);
+        owners.truncate(count.max(1));
+        owners
     }
 
     /// Whether this VM is the one of `owners` for a target.
-    fn is_chosen(&self, target: &str, owners: &[Arc<str>]) -> bool {
-        let chosen = owners.iter().max_by_key(|vm| weight(target, vm));
-        chosen.is_some_and(|vm| *vm == self.vm)
+    fn is_chosen(&self, target: &str, owners: &[Owner]) -> bool {
+        let chosen =
+            owners.iter().max_by(|one, other| one.claim(target).total_cmp(&other.claim(target)));
+        chosen.is_some_and(|owner| owner.vm == self.vm)
+    }
+}
+
+/// A VM that may own targets.
+#[derive(Clone, Debug)]
+struct Owner {
+    vm: Arc<str>,
+    cpu: u32,
+}
+
+impl Owner {
+    /// By weighted rendezvous hashing, the VM with the largest claim to a target owns it: of many targets each VM gets
+    /// a part in proportion to its cores.
+    fn claim(&self, target: &str) -> f64 {
+        let uniform = (weight(target, &self.vm) as f64 + 1.0) / (u64::MAX as f64 + 2.0);
+        -f64::from(self.cpu.max(1)) / uniform.ln()
     }
 }
 
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -74,6 +74,9 @@
     /// Addresses at which some VMs may take links.
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
+    /// What the VM may use.
+    #[serde(default)]
+    pub limits: Limits,
     /// The limits that the platform keeps.
     pub bounds: Bounds,
     /// The platform's store.
@@ -94,6 +97,18 @@
     pub control: Option<SocketAddr>,
 }
 
+/// What the VM may use.
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Limits {
+    /// A share of a core; 0 where the file has none.
+    #[serde(default)]
+    pub cpu_share: f64,
+    /// How many times as fast as usual that core is.
+    #[serde(default)]
+    pub cores: f64,
+}
+
 /// The limits that the platform keeps.
 #[derive(Clone, Copy, Debug, Deserialize)]
 #[serde(rename_all = "camelCase")]
@@ -214,6 +229,7 @@
             region: self.region.clone(),
             peers: self.listen.control.unwrap_or(peers),
             callers: self.listen.front,
+            cpu: (self.limits.cpu_share * self.limits.cores * 1000.0) as u32,
             seeds: self.seeds.clone(),
             prefix: PREFIX.to_owned(),
             lease: Lease { ttl: LEASE_TTL, renew: LEASE_RENEW },
--- a/src/serve/start.rs
+++ b/src/serve/start.rs
@@ -87,6 +87,7 @@
         incarnation,
         domain: settings.domain.clone(),
         peers: advertised,
+        cpu: 0,
     };
     let membership = Membership::new(Registration {
         vm: settings.vm.clone(),
@@ -96,6 +97,7 @@
         callers: settings.advertise.callers.unwrap_or(callers.local_addr()?),
         peers: advertised,
         draining: false,
+        cpu: 0,
     });
     let heartbeat = settings.heartbeat;
     let rules = Rules { every: heartbeat.every, patience: heartbeat.patience };
--- a/src/vm/node.rs
+++ b/src/vm/node.rs
@@ -45,6 +45,8 @@
     pub peers: SocketAddr,
     /// Where callers reach it.
     pub callers: SocketAddr,
+    /// Thousandths of a core that it may use; 0 if the platform does not say.
+    pub cpu: u32,
     /// VMs to ask first, for a start while the store is out.
     pub seeds: Vec<SocketAddr>,
     /// What all its own keys in the store start with.
@@ -134,6 +136,7 @@
     ) -> Self {
         let engine = Engine::new(incarnation.0, settings.rules);
         let ownership = Ownership::new(&settings.vm, &settings.domain, settings.peers);
+        let ownership = ownership.with_cpu(settings.cpu);
         let clock = Clock::start();
         Self {
             incarnation,
@@ -330,6 +333,7 @@
                     refused: refused.contains(&member.peers),
                 },
                 draining: member.draining,
+                cpu: member.cpu,
                 owns: None,
                 known_since: Millis::ZERO,
             };
@@ -342,6 +346,7 @@
                 address: link.hello.peers,
                 presence: Presence { registered: false, linked: true, refused: false },
                 draining: false,
+                cpu: link.hello.cpu,
                 owns: None,
                 known_since: Millis::ZERO,
             });
--- a/src/vm/start.rs
+++ b/src/vm/start.rs
@@ -94,6 +94,7 @@
         incarnation,
         domain: settings.domain.clone(),
         peers: settings.peers,
+        cpu: settings.cpu,
     };
     let membership = Membership::new(Registration {
         vm: settings.vm.clone(),
@@ -103,6 +104,7 @@
         callers: settings.callers,
         peers: settings.peers,
         draining: false,
+        cpu: settings.cpu,
     });
     let links = Arc::new(Links::new(hello, settings.heartbeat));
     let node = Arc::new(Node::new(settings, incarnation, links, store, adapter, membership));
--- a/src/wire/frame.rs
+++ b/src/wire/frame.rs
@@ -57,6 +57,9 @@
     pub domain: String,
     /// Where its peers reach it.
     pub peers: SocketAddr,
+    /// Thousandths of a core that it may use; 0 if it does not say.
+    #[serde(default)]
+    pub cpu: u32,
 }
 
 /// A question to another VM.
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -41,6 +41,7 @@
         callers: ([127, 0, 0, 1], 7000 + number).into(),
         peers: ([127, 0, 0, 1], 8000 + number).into(),
         draining: false,
+        cpu: 0,
     }));
     let (own, consul) = (Arc::clone(&membership), client(store));
     thread::spawn(move || {
@@ -131,6 +132,7 @@
             callers: ([127, 0, 0, 1], 1).into(),
             peers: ([127, 0, 0, 1], 2).into(),
             draining: false,
+            cpu: 0,
         };
         let members = Listed { version, value: BTreeMap::from([(own, member)]) };
         View { members, leaving }
--- a/tests/ownership.rs
+++ b/tests/ownership.rs
@@ -27,6 +27,7 @@
         address: address(vm),
         presence,
         draining: false,
+        cpu: 0,
         owns: None,
         known_since: Millis::ZERO,
     }
@@ -78,6 +79,26 @@
     assert_eq!((total, owners), (96, 4));
 }
 
+/// VMs of very different size, more of them than owners are needed.
+#[test]
+fn the_largest_vms_own_the_targets_in_proportion() {
+    let cpus = [90, 500, 90, 250, 120, 500, 90, 90];
+    let mut owned = BTreeMap::<u32, usize>::new();
+    for (number, &cpu) in cpus.iter().enumerate() {
+        let name = format!("v{number}");
+        let mut view = Ownership::new(&name, "a", address(&name)).with_cpu(cpu);
+        view.set_targets(targets("a", 72));
+        let others = cpus.iter().enumerate().filter(|(other, _)| *other != number);
+        let others = others.map(|(other, &cpu)| {
+            let name = format!("v{other}");
+            (id(other as u128), Peer { cpu, ..peer(&name, "a", ALIVE) })
+        });
+        view.set_peers(Millis(0), others.collect::<Vec<_>>());
+        *owned.entry(cpu).or_default() += view.to_take(Millis(1000)).len();
+    }
+    insta::assert_snapshot!(format!("{owned:?}"), @"{90: 0, 120: 0, 250: 10, 500: 62}");
+}
+
 #[test]
 fn an_owner_that_is_alive_keeps_what_it_has() {
     for presence in [
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -267,6 +267,7 @@
         incarnation,
         domain: "a".into(),
         peers: "127.0.0.1:7200".parse().unwrap(),
+        cpu: 250,
     };
     let adoption = Adoption {
         name: "x.1".into(),
