Show the stall that borrowed slots could cause

A VM whose last attempts did not reach a target lends nothing of it, and kept what it had borrowed of it for ever: a job of the lender waited out its 10 s ("with no task under way").

--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -500,3 +500,19 @@
         @"the job's time was up, with task 1 on target a0 for 2000 ms; give a longer timeout_ms or fewer tasks"
     );
 }
+
+/// A VM whose last attempts did not reach the target lends nothing of it, but must not keep what it borrowed either.
+#[test]
+fn slots_come_back_from_a_vm_that_can_not_reach_their_target() {
+    let mut model = Model::new(&["a", "a"], document(&[("a", 1)]), SEED);
+    model.submit(SECOND, 0, spec(&[100; 8], false, 10_000));
+    model.fault(SECOND + 150_000, "a0", Fault::Gone);
+    model.submit(SECOND + 160_000, 0, spec(&[100; 8], false, 300));
+    model.fault(2 * SECOND, "a0", Fault::None);
+    let job = model.submit(5 * SECOND, 1, spec(&[100; 4], false, 10_000));
+    let model = finish(model);
+    let job = &model.jobs[&job];
+    assert!(job.is_complete(), "{job:?}");
+    let lasted = job.ended.unwrap() - job.submitted;
+    assert!(lasted < SECOND, "{lasted} µs");
+}
