--- a/src/ownership/mod.rs
+++ b/src/ownership/mod.rs
@@ -347,7 +347,8 @@
     /// By weighted rendezvous hashing, the VM with the largest claim to a target owns it: of many targets each VM gets
     /// a part in proportion to its cores.
     fn claim(&self, target: &str) -> f64 {
-        let uniform = (weight(target, &self.vm) as f64 + 1.0) / (u64::MAX as f64 + 2.0);
+        // Between 0 and 1, neither of which it reaches.
+        let uniform = ((weight(target, &self.vm) >> 12) as f64 + 0.5) / (1_u64 << 52) as f64;
         -f64::from(self.cpu.max(1)) / uniform.ln()
     }
 }
--- a/src/schedule/end.rs
+++ b/src/schedule/end.rs
@@ -11,13 +11,14 @@
 use super::target::{Phase, Run};
 
 impl Engine {
-    /// Takes the end of a run, and whether it is told of as it happens.
+    /// Takes the end of a run. One that is not fresh came at an unknown time before, and says nothing of how long tasks last.
     pub(super) fn ended(
         &mut self,
         now: Millis,
         number: usize,
         (name, run): (&Name, u32),
-        (ending, is_fresh): (Ending, bool),
+        ending: Ending,
+        is_fresh: bool,
         actions: &mut Vec<Action>,
     ) {
         let target = &mut self.targets[number];
--- a/src/schedule/hold.rs
+++ b/src/schedule/hold.rs
@@ -201,7 +201,7 @@
             if end.number > self.targets[number].seen {
                 self.targets[number].seen = end.number;
                 let run = (&end.name, end.run);
-                self.ended(now, number, run, (end.ending, sent.waits), actions);
+                self.ended(now, number, run, end.ending, sent.waits, actions);
             }
         }
         self.settle_absent(now, number, sent, &answer.running);
--- a/tests/schedule.rs
+++ b/tests/schedule.rs
@@ -126,6 +126,26 @@
     }
 }
 
+/// Answers that waited for a frozen VM say little of how fast targets answer.
+#[test]
+fn soon_after_a_freeze_lost_starts_are_found_again() {
+    let mut model = world(4);
+    model.submit(999, 0, 1, spec("j1", 8, 8, 60), 60, 9000);
+    model.run(1000);
+    model.frozen[0] = true;
+    model.run(4000);
+    model.thaw(0);
+    for job in 2..=4 {
+        model.submit(4000 + job * 200, 0, job, spec(&format!("j{job}"), 8, 8, 60), 60, 5000);
+    }
+    model.fault(5900, 0, Fault { late: 100, ..Fault::default() });
+    model.fault(6020, 0, Fault::default());
+    model.submit(6000, 0, 5, spec("j5", 8, 8, 60), 60, 5000);
+    model.run(9000);
+    let took = model.got[&(0, 5)].at - 6000;
+    assert!(took < 180, "{took} ms");
+}
+
 /// A look shows that the start arrived: its target is used all the while.
 #[test]
 fn an_answer_that_was_lost_stops_no_target() {
