--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -209,6 +209,22 @@
     assert_eq!(env.ledger.done.lock().unwrap().len(), 0);
 }
 
+/// Its copy may be at another VM already. The requests before the last one are read first.
+#[test]
+fn a_job_whose_caller_has_gone_before_it_is_read_starts_nothing() {
+    let env = Env::start(1, 1);
+    let starts = || *env.ledger.starts.lock().unwrap();
+    let before = starts();
+    env.vms[0].signal(Signal::STOP);
+    for id in 0..5 {
+        env.post_and_reset(0, id);
+    }
+    env.vms[0].signal(Signal::CONT);
+    assert_eq!(env.submit(0, 100, 1, 50), Some(done()));
+    assert_eq!(starts(), before + 1);
+    env.check();
+}
+
 #[test]
 fn a_worker_that_crashes_or_goes_silent_costs_a_delay_only() {
     let env = Env::start(1, 2);
--- a/tests/platform/mod.rs
+++ b/tests/platform/mod.rs
@@ -8,8 +8,8 @@
 pub mod worker;
 
 use std::fs;
-use std::io::{BufRead as _, BufReader};
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::io::{BufRead as _, BufReader, Write as _};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -25,6 +25,7 @@
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
 use smol::net::TcpListener;
+use socket2::SockRef;
 
 use kv::Kv;
 #[allow(unused_imports, reason = "each test file uses a part of it")]
@@ -270,6 +271,21 @@
         self.post(index, id, &body, Millis(15_000))
     }
 
+    /// Sends a job of one task whole, and resets the connection at once.
+    pub fn post_and_reset(&self, index: usize, id: u64) {
+        let body = json!({ "spec": "7000 50", "bestEffort": true,
+            "steps": [{ "count": 1, "cpu": 7000, "memMb": 64, "estMs": 50 }] });
+        let body = body.to_string();
+        let mut stream = TcpStream::connect(SocketAddr::new(self.ip(index), 8161)).unwrap();
+        write!(
+            stream,
+            "POST {PREFIX}{id:016x} HTTP/1.1\r\nHost: {HOST}\r\nContent-Length: {}\r\n\r\n{body}",
+            body.len()
+        )
+        .unwrap();
+        SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
+    }
+
     /// Submits a body, and leaves after `patience`.
     pub fn post(&self, index: usize, id: u64, body: &Value, patience: Millis) -> Option<Reply> {
         self.post_with_deadline(index, id, body, patience, Millis(15_000))
