Let owners settle before a test counts how often targets change hands

Its log shows two VMs that started at once: one had raised the tokens of two targets when it heard that the other had taken them, and let go; the other was refused at its next hold, 0.5 s later, and the first took them for good. The test had counted in between. Ruled out: the store that turned VMs away; the change of hands began before that.

--- a/tests/partial.rs
+++ b/tests/partial.rs
@@ -25,6 +25,15 @@
     move || start.elapsed() > limit
 }
 
+/// Of two VMs that start at once one may have raised the token of a target before it hears that the other has taken
+/// it; that one is refused at its next hold, half a second later. Plays some load until that is over.
+fn settle(env: &Env) {
+    let all = (0..env.vms.len()).collect::<Vec<_>>();
+    let replies = env.load(&all, 4, after(Duration::from_secs(1)));
+    assert!(!replies.is_empty());
+}
+
+/// How often targets were taken so far.
 fn taken(env: &Env) -> u64 {
     (0..env.vms.len()).map(|vm| env.metric(vm, "targets.taken")).sum()
 }
@@ -32,6 +41,7 @@
 #[test]
 fn a_vm_that_the_store_turns_away_serves_on_and_learns_of_changes() {
     let env = Env::start(2, 2);
+    settle(&env);
     let before = taken(&env);
     for silent in [false, true] {
         for vm in [0, 2] {
@@ -103,6 +113,7 @@
 #[test]
 fn a_vm_that_comes_takes_nothing_from_owners_that_live() {
     let mut env = Env::start(1, 3);
+    settle(&env);
     let before = taken(&env);
     for domain in ["a", "b", "a"] {
         env.add(domain);
