Send a task elsewhere whose start was lost, and rest a target that loses start after start

A target that answers holds and loses all starts was used on, since, and of two equal targets the first was chosen again each time: a batch could be started there every 32 ms until its caller left. Ruled out: a slow machine; the log shows 126 starts that were cut, and no renewal was late. Change: a lost start counts against its target for that task, as a failed one does, and three in a row, without an answer to a start between them, have it rest 300 ms. The new test failed before (the batch expired).

--- a/src/schedule/hold.rs
+++ b/src/schedule/hold.rs
@@ -219,7 +219,8 @@
         running: &[Running],
     ) {
         let target = &mut self.targets[number];
-        let mut gone = Vec::new();
+        let mut lost = Vec::new();
+        let mut vanished = Vec::new();
         let mut is_missing = false;
         for run in &mut target.runs {
             let listed =
@@ -234,14 +235,19 @@
             let is_refuted = run.state == State::Ordered && run.fence < fence;
             let is_known = run.confirmed > 0 && run.confirmed < turn;
             let has_vanished = is_known && matches!(run.state, State::Running | State::Stopped);
-            if !listed && (is_refuted || has_vanished) {
-                gone.push((run.name.clone(), run.attempt));
+            if !listed && is_refuted {
+                lost.push((run.name.clone(), run.attempt));
+            } else if !listed && has_vanished {
+                vanished.push((run.name.clone(), run.attempt));
             }
         }
         if is_missing && fence == target.fence {
             target.raise(at);
         }
-        for (name, run) in gone {
+        for (name, run) in lost {
+            self.start_lost(now, number, (&name, run));
+        }
+        for (name, run) in vanished {
             self.refute(now, number, &name, run);
         }
     }
--- a/src/schedule/order.rs
+++ b/src/schedule/order.rs
@@ -151,6 +151,7 @@
                 if let Some(index) = target.find(name, run) {
                     let run = &mut target.runs[index];
                     self.answers.note(now - run.sent);
+                    target.health.lost_starts = 0;
                     run.confirmed = turn;
                     if run.state == State::Ordered {
                         run.state = State::Running;
@@ -204,6 +205,20 @@
         self.tend(now, number, actions);
     }
 
+    /// A start did not arrive and never will: its task goes elsewhere if it can, and a target that loses one after the
+    /// other rests.
+    pub(super) fn start_lost(&mut self, now: Millis, number: usize, (name, run): (&Name, u32)) {
+        let target = &mut self.targets[number];
+        target.health.lose_start(now);
+        if let Some(index) = target.find(name, run) {
+            let Run { job, task, .. } = target.runs[index];
+            if let Some(job) = self.jobs.get_mut(&job) {
+                job.tasks[task].failed_on = Some(number);
+            }
+        }
+        self.refute(now, number, name, run);
+    }
+
     fn start_denied(
         &mut self,
         now: Millis,
--- a/src/schedule/target.rs
+++ b/src/schedule/target.rs
@@ -17,6 +17,9 @@
 /// The longest rest.
 const REST_MAX: Millis = Millis(8000);
 
+/// Starts in a row that did not arrive, after which a target counts as one that can't be reached.
+const LOST_STARTS_MAX: u32 = 3;
+
 /// The rest of a target that can't be reached or says that it is not well.
 const REST_UNWELL: Millis = Millis(300);
 
@@ -211,6 +214,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Health {
     failures: u32,
+    /// Starts in a row that did not arrive.
+    pub lost_starts: u32,
     last_failed: Option<JobId>,
     rest: Millis,
     /// Until when it gets nothing.
@@ -237,6 +242,14 @@
         }
     }
 
+    /// A start did not arrive, though the target answers otherwise.
+    pub fn lose_start(&mut self, now: Millis) {
+        self.lost_starts += 1;
+        if self.lost_starts >= LOST_STARTS_MAX {
+            self.unwell(now);
+        }
+    }
+
     /// A task stands still, or lasts far longer than expected.
     pub fn stall(&mut self, now: Millis) {
         self.on_probation = true;
--- a/tests/schedule.rs
+++ b/tests/schedule.rs
@@ -126,6 +126,24 @@
     }
 }
 
+/// A target that answers holds and loses every start must not get the same tasks again and again.
+#[test]
+fn a_target_that_loses_all_starts_holds_up_no_batch() {
+    let mut model = world(2);
+    model.submit(100, 0, 1, spec("j1", 1, 8, 60), 60, 5000);
+    model.run(500);
+    model.fault(900, 0, Fault { late: 100, ..Fault::default() });
+    for job in 2..=21 {
+        model.submit(1000 + job * 100, 0, job, spec(&format!("j{job}"), 2, 7, 60), 60, 5000);
+    }
+    model.run(12_000);
+    for job in 2..=21 {
+        assert_eq!(model.outcome(job), Some(&Outcome::Done));
+        let took = model.got[&(0, job)].at - (1000 + job * 100);
+        assert!(took < 180, "{took} ms for batch {job}");
+    }
+}
+
 /// Answers that waited for a frozen VM say little of how fast targets answer.
 #[test]
 fn soon_after_a_freeze_lost_starts_are_found_again() {
