Read the store's items one by one

Cause: one item whose value is not base64, or whose fields have other types, failed the read of its whole prefix. At the start no target was ever known, later no change arrived. A key with '&' or '#' at the end of a page made the next page begin elsewhere, again and again.

An unreadable item is now logged (event=item-unreadable) and removes only the entry of its key. Keys are percent-encoded in queries, and a page that does not go on is an error. The Consul client reads lists the same way.

--- a/src/platform/kv/mod.rs
+++ b/src/platform/kv/mod.rs
@@ -1,19 +1,23 @@
 //! The [`Store`] trait on top of the platform's store.
 
-use std::collections::{BTreeMap, HashMap};
+mod item;
+
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Mutex, PoisonError};
 
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
 use http_types::Method;
-use serde::de::DeserializeOwned;
+use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, utf8_percent_encode};
 use serde::{Deserialize, Serialize};
 
 use crate::clock::Millis;
 use crate::http::{Limits, Pool, Request, Response};
 use crate::store::{Call, Calls, Condition, Counter, Entry, Error, Index, Read, Store, Vm};
 
+use item::{Changes, Item, Page, Snapshot};
+
 /// The timeout of a call, its wait not included. The store responds within milliseconds, or a few hundred when
 /// it is slow.
 const TIMEOUT: Millis = Millis(1000);
@@ -27,6 +31,10 @@
 /// The age up to which an idle connection is reused.
 const IDLE_AGE_MAX: Millis = Millis::from_secs(10);
 
+/// The characters of keys that are escaped in queries.
+const ESCAPED: &AsciiSet =
+    &NON_ALPHANUMERIC.remove(b'/').remove(b'-').remove(b'.').remove(b'_').remove(b'~');
+
 /// A client of the platform's store.
 #[derive(Debug)]
 pub struct Kv {
@@ -36,13 +44,6 @@
     snapshots: Mutex<HashMap<String, Snapshot>>,
 }
 
-/// All entries under a prefix at a revision, by key.
-#[derive(Clone, Debug, Default)]
-struct Snapshot {
-    revision: Index,
-    entries: BTreeMap<String, Entry>,
-}
-
 impl Kv {
     /// A client of the store at `address`.
     pub fn new(address: SocketAddr) -> Self {
@@ -74,17 +75,13 @@
         Ok(response?)
     }
 
-    async fn read<T: DeserializeOwned>(&self, path: &str, wait: Millis) -> Result<T, Error> {
-        json(&self.send(Method::Get, path, &[], wait).await?)
+    async fn read(&self, path: &str, wait: Millis) -> Result<Response, Error> {
+        self.send(Method::Get, path, &[], wait).await
     }
 
-    async fn post<T: DeserializeOwned>(
-        &self,
-        path: &str,
-        body: &impl Serialize,
-    ) -> Result<T, Error> {
+    async fn post(&self, path: &str, body: &impl Serialize) -> Result<Response, Error> {
         let body = serde_json::to_vec(body).map_err(|e| Error::Unreadable(e.to_string()))?;
-        json(&self.send(Method::Post, path, &body, Millis::ZERO).await?)
+        self.send(Method::Post, path, &body, Millis::ZERO).await
     }
 
     /// Reads all entries under a prefix, page by page. The snapshot has the revision of the first page, so that a
@@ -94,21 +91,24 @@
         let mut after = String::new();
         loop {
             self.counter.read();
-            let path = match after.as_str() {
-                "" => format!("/api/kv-range?prefix={prefix}"),
-                after => format!("/api/kv-range?prefix={prefix}&after={after}"),
-            };
-            let page = self.read::<Range>(&path, Millis::ZERO).await?;
+            let mut path = format!("/api/kv-range?prefix={}", escaped(prefix));
+            if !after.is_empty() {
+                path.push_str("&after=");
+                path.push_str(&escaped(&after));
+            }
+            let response = self.read(&path, Millis::ZERO).await?;
+            let page = json::<Page<'_>>(&response)?;
             if snapshot.revision == 0 {
                 snapshot.revision = page.revision;
             }
-            after = page.items.last().map(|item| item.key.clone()).unwrap_or_default();
-            for item in page.items {
-                snapshot.put(item)?;
-            }
-            if !page.truncated || after.is_empty() {
+            let last = page.items.iter().filter_map(|item| snapshot.apply(item)).last();
+            if !page.truncated {
                 return Ok(snapshot);
             }
+            match last.filter(|last| *last > after) {
+                Some(last) => after = last,
+                None => return Err(Error::Unreadable("a page ends where it began".to_owned())),
+            }
         }
     }
 
@@ -121,19 +121,16 @@
     ) -> Result<Snapshot, Error> {
         self.counter.watch();
         let (after, wait_ms) = (snapshot.revision, wait.0);
-        let path = format!("/api/kv-watch?prefix={prefix}&after={after}&waitMs={wait_ms}");
-        let changes = match self.read::<Changes>(&path, wait).await {
+        let prefix_text = escaped(prefix);
+        let path = format!("/api/kv-watch?prefix={prefix_text}&after={after}&waitMs={wait_ms}");
+        let response = self.read(&path, wait).await?;
+        if response.status == 410 {
             // The store has compacted its history beyond this revision: read everything again.
-            Err(Error::Refused { status: 410, .. }) => return self.range(prefix).await,
-            changes => changes?,
-        };
+            return self.range(prefix).await;
+        }
+        let changes = json::<Changes<'_>>(&response)?;
         for change in changes.events {
-            match change {
-                Change::Removed(Removed { key, .. }) => {
-                    snapshot.entries.remove(&key);
-                }
-                Change::Put(item) => snapshot.put(item)?,
-            }
+            snapshot.apply(change);
         }
         snapshot.revision = changes.revision.max(snapshot.revision);
         Ok(snapshot)
@@ -167,7 +164,8 @@
     /// Commits a transaction; false if one of its preconditions did not hold.
     async fn commit(&self, transaction: &Transaction<'_>) -> Result<bool, Error> {
         self.counter.write();
-        match self.post::<Accepted>("/api/kv-txn", transaction).await {
+        let response = self.post("/api/kv-txn", transaction).await?;
+        match json::<Accepted>(&response) {
             Ok(Accepted { .. }) => Ok(true),
             Err(Error::Refused { status: 412, .. }) => Ok(false),
             Err(error) => Err(error),
@@ -175,8 +173,13 @@
     }
 }
 
+/// A key or prefix as part of a query.
+fn escaped(key: &str) -> String {
+    utf8_percent_encode(key, ESCAPED).to_string()
+}
+
 /// Decodes the body of a successful response.
-fn json<T: DeserializeOwned>(response: &Response) -> Result<T, Error> {
+fn json<'a, T: Deserialize<'a>>(response: &'a Response) -> Result<T, Error> {
     if response.status != 200 {
         let text = String::from_utf8_lossy(&response.body).trim().to_owned();
         return Err(Error::Refused { status: response.status, text });
@@ -184,66 +187,6 @@
     serde_json::from_slice(&response.body).map_err(|error| Error::Unreadable(error.to_string()))
 }
 
-impl Snapshot {
-    fn put(&mut self, item: Item) -> Result<(), Error> {
-        let entry = Entry::try_from(item)?;
-        self.entries.insert(entry.key.clone(), entry);
-        Ok(())
-    }
-}
-
-/// A key as the store transmits it.
-#[derive(Debug, Deserialize)]
-struct Item {
-    key: String,
-    /// The value in base64.
-    value: String,
-    /// The revision of the last change.
-    #[serde(rename = "rev")]
-    revision: Index,
-}
-
-impl TryFrom<Item> for Entry {
-    type Error = Error;
-
-    fn try_from(item: Item) -> Result<Self, Error> {
-        let value = STANDARD.decode(item.value);
-        let value = value.map_err(|error| Error::Unreadable(error.to_string()))?;
-        Ok(Self { key: item.key, value, index: item.revision })
-    }
-}
-
-/// One page of a range read.
-#[derive(Debug, Deserialize)]
-struct Range {
-    items: Vec<Item>,
-    truncated: bool,
-    #[serde(rename = "asOf")]
-    revision: Index,
-}
-
-#[derive(Debug, Deserialize)]
-struct Changes {
-    events: Vec<Change>,
-    /// The revision up to which `events` lists all changes.
-    #[serde(rename = "asOf")]
-    revision: Index,
-}
-
-#[derive(Debug, Deserialize)]
-#[serde(untagged)]
-enum Change {
-    Put(Item),
-    Removed(Removed),
-}
-
-#[derive(Debug, Deserialize)]
-struct Removed {
-    key: String,
-    #[serde(rename = "removed")]
-    _removed: bool,
-}
-
 #[derive(Debug, Default, Serialize)]
 struct Transaction<'a> {
     /// The preconditions, all of which must hold.
@@ -287,7 +230,9 @@
     fn get<'a>(&'a self, key: &'a str) -> Call<'a, Option<Entry>> {
         Box::pin(async move {
             self.counter.read();
-            match self.read::<Item>(&format!("/api/kv-key?key={key}"), Millis::ZERO).await {
+            let path = format!("/api/kv-key?key={}", escaped(key));
+            let response = self.read(&path, Millis::ZERO).await?;
+            match json::<Item<'_>>(&response) {
                 Ok(item) => Entry::try_from(item).map(Some),
                 Err(Error::Refused { status: 404, .. }) => Ok(None),
                 Err(error) => Err(error),
@@ -338,8 +283,8 @@
     fn open_session(&self, ttl: Millis) -> Call<'_, String> {
         Box::pin(async move {
             self.counter.write();
-            let granted = self.post::<Granted>("/api/kv-lease", &LeaseRequest { ttl }).await?;
-            Ok(granted.lease.to_string())
+            let response = self.post("/api/kv-lease", &LeaseRequest { ttl }).await?;
+            Ok(json::<Granted>(&response)?.lease.to_string())
         })
     }
 
--- a/src/store/consul.rs
+++ b/src/store/consul.rs
@@ -9,6 +9,7 @@
 use serde::de::DeserializeOwned;
 
 use crate::clock::Millis;
+use crate::event;
 use crate::http::{self, Limits, Pool, Request};
 
 use super::calls::Counter;
@@ -131,6 +132,16 @@
     }
 }
 
+/// The entry of a pair in a list. An unreadable pair is logged and does not hide the others.
+fn readable(pair: Pair) -> Option<Entry> {
+    let (key, index) = (pair.key.clone(), pair.modify_index);
+    let entry = Entry::try_from(pair);
+    if let Err(error) = &entry {
+        event!(warn, "item-unreadable", key = key, index = index, reason = error);
+    }
+    entry.ok()
+}
+
 #[derive(Debug, Deserialize)]
 #[serde(rename_all = "PascalCase")]
 struct CreatedSession {
@@ -198,8 +209,7 @@
         Box::pin(async move {
             let path = format!("/v1/kv/{prefix}?recurse=true");
             let Read { value, index } = self.watch_path::<Pair>(&path, '&', after, wait).await?;
-            let value = value.into_iter().map(Entry::try_from).collect::<Result<_, _>>()?;
-            Ok(Read { value, index })
+            Ok(Read { value: value.into_iter().filter_map(readable).collect(), index })
         })
     }
 
