Decode each version of a registration once

Cause: with every change of the members each VM decoded all registrations again, and logged a faulty one each time (4 lines within 2 s of a start).

The decoder with its cache, so far of targets only, moves to store::Decoder and serves both.

--- a/src/membership/follow.rs
+++ b/src/membership/follow.rs
@@ -4,7 +4,7 @@
 
 use crate::clock::{Clock, Millis};
 use crate::event;
-use crate::store::{Cursor, Entry, Error, Index, Read, Store, Vm};
+use crate::store::{Cursor, Decoder, Entry, Error, Index, Read, Store, Vm};
 
 use super::view::{Registration, Version, Versioned, View};
 use super::{Membership, lease};
@@ -17,11 +17,15 @@
 /// Follows the VMs' registrations below `prefix` and never returns. Each read waits up to `wait` for a change.
 pub async fn watch_members(membership: &Membership, store: &dyn Store, prefix: &str, wait: Millis) {
     let (mut cursor, mut epochs) = (Cursor::new("members"), Epochs::default());
+    let mut decoder = Decoder::default();
     let clock = Clock::start();
     let key = lease::key_prefix(prefix);
     loop {
         let read = store.list(&key, cursor.index(), wait).await;
-        let index = read.map(|read| apply_members(membership, &mut epochs, clock.now(), &read));
+        let index = read.map(|read| {
+            let members = decoder.decode(&read.value, parse_registration);
+            apply_members(membership, &mut epochs, clock.now(), members, read.index)
+        });
         cursor.advance(index).await;
     }
 }
@@ -41,16 +45,17 @@
     membership: &Membership,
     epochs: &mut Epochs,
     now: Millis,
-    read: &Read<Vec<Entry>>,
+    members: Vec<Registration>,
+    index: Index,
 ) -> Index {
     let known = membership.view().members.version;
-    if let Some(version) = epochs.version(now, known, read.index) {
-        let members = read.value.iter().filter_map(parse_registration);
-        let value = members.map(|member| (member.incarnation, member)).collect::<BTreeMap<_, _>>();
+    if let Some(version) = epochs.version(now, known, index) {
+        let members = members.into_iter().map(|member| (member.incarnation, member));
+        let value = members.collect::<BTreeMap<_, _>>();
         let members = Versioned { version, value };
         membership.offer(&View { members, ..View::default() });
     }
-    read.index
+    index
 }
 
 fn apply_targets(
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -3,6 +3,7 @@
 mod calls;
 mod consul;
 mod cursor;
+mod decoder;
 mod memory;
 
 use std::fmt;
@@ -15,6 +16,7 @@
 pub use calls::{Calls, Counter};
 pub use consul::Consul;
 pub use cursor::{Cursor, WATCH_WAIT};
+pub use decoder::Decoder;
 pub use memory::Memory;
 
 /// A position in the store's sequence of changes. A watch waits for a change after a given index.
--- a/src/vm/follow.rs
+++ b/src/vm/follow.rs
@@ -1,6 +1,5 @@
 //! Watches the configuration, the targets and the other VMs' registrations in the store.
 
-use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
@@ -11,10 +10,10 @@
 use crate::job::Incarnation;
 use crate::membership;
 use crate::metrics::Gauge;
-use crate::store::{Cursor, Entry, Index};
+use crate::store::{Cursor, Decoder};
 use crate::wire::{Call, Reply};
 
-use super::adapter::{Adapter, Site};
+use super::adapter::Site;
 use super::node::Node;
 
 /// The longest wait of a watch. A watch on a dead connection is repeated after this time, and a change must take
@@ -53,15 +52,12 @@
     pub(super) async fn follow_targets(self: Arc<Self>) {
         let mut cursor = Cursor::new("targets");
         let mut known = Vec::<Site>::new();
-        let mut decoder = Decoder::default();
+        let mut decoder = Decoder::<Site>::default();
         loop {
             let prefix = self.adapter.targets_prefix();
             let read = self.store.list(prefix, cursor.index(), WATCH_WAIT).await;
             let index = read.map(|read| {
-                let sites =
-                    read.value.iter().filter_map(|entry| decoder.site(&*self.adapter, entry));
-                let sites = sites.collect::<Vec<_>>();
-                decoder.retain(&read.value);
+                let sites = decoder.decode(&read.value, |entry| self.adapter.decode_target(entry));
                 if sites != known {
                     known.clone_from(&sites);
                     self.set_targets(sites);
@@ -142,30 +138,3 @@
         }
     }
 }
-
-/// Decodes targets' entries and caches the results, so that each version of an entry is decoded once and a faulty
-/// one logged once.
-#[derive(Debug, Default)]
-struct Decoder {
-    by_key: HashMap<String, (Index, Option<Site>)>,
-}
-
-impl Decoder {
-    fn site(&mut self, adapter: &dyn Adapter, entry: &Entry) -> Option<Site> {
-        if let Some((index, site)) = self.by_key.get(&entry.key)
-            && *index == entry.index
-        {
-            return site.clone();
-        }
-        let site = adapter.decode_target(entry);
-        self.by_key.insert(entry.key.clone(), (entry.index, site.clone()));
-        site
-    }
-
-    /// Drops the cached results of all keys but those of `entries`.
-    fn retain(&mut self, entries: &[Entry]) {
-        if self.by_key.len() > entries.len() {
-            self.by_key.retain(|key, _| entries.iter().any(|entry| entry.key == *key));
-        }
-    }
-}
