Bear the largest numbers and unconfirmed start times

Cause: sums and products of numbers from entries and jobs overflowed: in a test build the process ended, in a release build the load wrapped. A higher start time in a target's entry ended its attempts at once, though anyone may have written it: two tasks were started four times (schedule, a_start_time_that_the_target_does_not_confirm_ends_no_attempt, failed before).

A higher start time in an entry now asks for a poll, and only the target's own report ends attempts. The first report after an acquisition counts also if it is lower than the entry's.

--- a/src/route/choice.rs
+++ b/src/route/choice.rs
@@ -61,5 +61,5 @@
     let away_cost = if candidate.is_near { Millis::ZERO } else { demand.away_cost };
     let full_cost = if free_cpu < demand.cpu { FULL_COST } else { Millis::ZERO };
     let used = total_cpu - free_cpu.min(total_cpu);
-    (backlog + away_cost + full_cost, used * 100 / total_cpu.max(1))
+    (backlog + away_cost + full_cost, used.saturating_mul(100) / total_cpu.max(1))
 }
--- a/src/schedule/arrivals.rs
+++ b/src/schedule/arrivals.rs
@@ -2,6 +2,8 @@
 
 use crate::clock::Millis;
 
+use super::queue::Work;
+
 /// The averaging time of the arrival rate: long compared with the gaps between batches, short compared with a burst.
 const SPAN: Millis = Millis(500);
 
@@ -14,8 +16,8 @@
 }
 
 impl Arrivals {
-    /// Adds work, in thousandths of a core times milliseconds.
-    pub fn add(&mut self, now: Millis, work: u64) {
+    /// Adds work.
+    pub fn add(&mut self, now: Millis, work: Work) {
         self.cpu = self.cpu(now) + work as f64 / SPAN.0 as f64;
         self.updated_at = now;
     }
--- a/src/schedule/capacity.rs
+++ b/src/schedule/capacity.rs
@@ -35,8 +35,10 @@
         let mut capacity = Capacity::default();
         for target in self.targets.iter().filter(|target| target.phase == Phase::Owned) {
             let free = target.free().cpu;
-            capacity.used += target.listing.capacity.cpu - free;
-            *free_field(target, now, &mut capacity) += free;
+            let used = target.listing.capacity.cpu.saturating_sub(free);
+            capacity.used = capacity.used.saturating_add(used);
+            let field = free_field(target, now, &mut capacity);
+            *field = field.saturating_add(free);
         }
         capacity
     }
--- a/src/schedule/engine.rs
+++ b/src/schedule/engine.rs
@@ -14,7 +14,7 @@
 use super::fence::Fence;
 use super::history::History;
 use super::latency::Latency;
-use super::queue::{Class, Queue, Rank, time_for};
+use super::queue::{Class, Queue, Rank, Work, time_for};
 use super::speed::{Mean, Speeds};
 use super::target::{Attempt, Health, Phase, Target};
 
@@ -24,6 +24,9 @@
 /// The shortest time after which a refused caller is told to retry.
 const RETRY_AFTER_MIN: Millis = Millis(1000);
 
+/// The longest time after which a refused caller is told to retry, whatever the waiting batches declare.
+const RETRY_AFTER_MAX: Millis = Millis::from_secs(60);
+
 /// How much slower than this VM's clock a target's clock may run, in percent.
 const CLOCK_LOSS_PERCENT: u64 = 2;
 
@@ -116,7 +119,8 @@
     pub fn load(&self, now: Millis) -> Load {
         let healthy = self.targets.iter().filter(|target| target.is_healthy(now));
         let (total, free) = healthy.fold((0, 0), |(total, free), target| {
-            (total + target.listing.capacity.cpu, free + target.free().cpu)
+            let capacity = target.listing.capacity.cpu;
+            (capacity.saturating_add(total), target.free().cpu.saturating_add(free))
         });
         let backlog = time_for(self.queue.backlog(), total);
         Load { total_cpu: total, free_cpu: free, backlog }
@@ -217,11 +221,12 @@
         self.needs_placement = true;
     }
 
-    /// The work of the given tasks of a batch, in thousandths of a core times milliseconds.
-    fn work(&self, batch: &Batch, tasks: impl IntoIterator<Item = usize>) -> u64 {
+    /// The work of the given tasks of a batch.
+    fn work(&self, batch: &Batch, tasks: impl IntoIterator<Item = usize>) -> Work {
         let work = tasks.into_iter().map(|task| {
             let step = &batch.spec.steps[batch.tasks[task].step];
-            step.need.cpu.max(1) * self.expected(&batch.spec, step).0.max(1)
+            let duration = self.expected(&batch.spec, step);
+            Work::from(step.need.cpu.max(1)) * Work::from(duration.0.max(1))
         });
         work.sum()
     }
@@ -253,7 +258,7 @@
     }
 
     pub(super) fn overload(&self, now: Millis) -> Outcome {
-        let retry_after = self.load(now).backlog.max(RETRY_AFTER_MIN);
+        let retry_after = self.load(now).backlog.clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX);
         Outcome::Refused { reason: Refusal::Overload, retry_after }
     }
 
@@ -334,11 +339,13 @@
     ) {
         let target = &mut self.targets[index];
         target.unlisted_since = None;
-        let has_restarted = listing.incarnation > target.incarnation;
-        let incarnation = listing.incarnation;
+        let may_have_restarted = listing.incarnation > target.incarnation;
         target.listing = listing;
-        if has_restarted {
-            self.handle_restart(now, index, incarnation, actions);
+        // Another writer may have left the entry, so only the target's own report shows that its attempts are gone.
+        if may_have_restarted && target.phase != Phase::Unowned {
+            target.unsynced = true;
+            target.next_poll_at = now;
+            self.reconcile(now, index, actions);
         }
     }
 
--- a/src/schedule/poll.rs
+++ b/src/schedule/poll.rs
@@ -193,10 +193,8 @@
         snapshot: &Snapshot,
         actions: &mut Vec<Action>,
     ) {
-        let target = &mut self.targets[index];
-        let reported = snapshot.incarnation;
-        if let Some(newer) = reported.filter(|&reported| reported > target.incarnation) {
-            self.handle_restart(now, index, newer, actions);
+        if let Some(incarnation) = self.reported_restart(index, snapshot) {
+            self.handle_restart(now, index, incarnation, actions);
         }
         let target = &mut self.targets[index];
         target.record_clock(snapshot.clock, now);
@@ -222,6 +220,18 @@
         self.stop_strays(index, &snapshot.running, actions);
     }
 
+    /// The incarnation that a target reports, if it is not the known one.
+    ///
+    /// Until the target is owned, the known incarnation is that of its entry, which another writer may have left, so
+    /// the first report counts in any case. Later reports only count if they are newer, as responses may overtake each
+    /// other. A target that does not report its incarnation has that of its entry.
+    fn reported_restart(&self, index: usize, snapshot: &Snapshot) -> Option<u64> {
+        let target = &self.targets[index];
+        let reported = snapshot.incarnation.unwrap_or(target.listing.incarnation);
+        let is_first = target.phase == Phase::Acquiring && reported != target.incarnation;
+        (is_first || reported > target.incarnation).then_some(reported)
+    }
+
     /// Confirms the attempts that a target lists. Drops those that it does not list if they have ended, or if their
     /// starts can no longer be executed.
     fn settle_unlisted(&mut self, now: Millis, index: usize, poll: Poll, running: &[Running]) {
--- a/src/schedule/queue.rs
+++ b/src/schedule/queue.rs
@@ -70,23 +70,27 @@
     }
 }
 
-/// The time that `cpu` thousandths of cores need for `work`, in thousandths of a core times milliseconds.
-pub(super) fn time_for(work: u64, cpu: u64) -> Millis {
-    Millis(work / cpu.max(1))
+/// An amount of work, in thousandths of a core times milliseconds. It is wide enough for the sum over a queue of batches,
+/// whatever their callers declare.
+pub(super) type Work = u128;
+
+/// The time that `cpu` thousandths of cores need for `work`.
+pub(super) fn time_for(work: Work, cpu: u64) -> Millis {
+    Millis(u64::try_from(work / Work::from(cpu.max(1))).unwrap_or(u64::MAX))
 }
 
-/// Batches with ready tasks, and the work of these tasks in thousandths of a core times milliseconds.
+/// Batches with ready tasks, and the work of these tasks.
 #[derive(Debug, Default)]
 pub(super) struct Queue {
     ranks: BTreeMap<BatchId, Rank>,
-    work: BTreeMap<Rank, u64>,
+    work: BTreeMap<Rank, Work>,
     /// The sum of all work.
-    backlog: u64,
+    backlog: Work,
 }
 
 impl Queue {
     /// Sets the rank of a batch and the work of its ready tasks; without any work, the batch is removed.
-    pub fn put(&mut self, rank: Rank, work: u64) {
+    pub fn put(&mut self, rank: Rank, work: Work) {
         self.remove(rank.batch);
         if work == 0 {
             return;
@@ -109,12 +113,12 @@
     }
 
     /// The work ahead of a batch that would get `rank`.
-    pub fn ahead_of(&self, rank: &Rank) -> u64 {
+    pub fn ahead_of(&self, rank: &Rank) -> Work {
         self.work.range(..*rank).map(|(_, work)| work).sum()
     }
 
-    /// All work that waits, in thousandths of a core times milliseconds.
-    pub const fn backlog(&self) -> u64 {
+    /// All work that waits.
+    pub const fn backlog(&self) -> Work {
         self.backlog
     }
 
--- a/src/vm/announce.rs
+++ b/src/vm/announce.rs
@@ -63,9 +63,9 @@
 
 /// Whether a load differs enough from the announced one to announce it.
 fn has_changed(announced: &Utilization, utilization: &Utilization) -> bool {
-    let change = announced.load.free_cpu.abs_diff(utilization.load.free_cpu) * 100;
+    let change = announced.load.free_cpu.abs_diff(utilization.load.free_cpu).saturating_mul(100);
     announced.routes != utilization.routes
         || announced.load.total_cpu != utilization.load.total_cpu
         || announced.load.backlog != utilization.load.backlog
-        || change > utilization.load.total_cpu * CHANGE_PERCENT
+        || change > utilization.load.total_cpu.saturating_mul(CHANGE_PERCENT)
 }
--- a/tests/schedule.rs
+++ b/tests/schedule.rs
@@ -9,9 +9,9 @@
 use std::sync::Arc;
 
 use fastrand::Rng;
-use gypsumkeel::batch::{Name, Outcome, Refusal};
+use gypsumkeel::batch::{Name, Outcome, Refusal, Resources};
 use gypsumkeel::clock::Millis;
-use gypsumkeel::schedule::{Capacity, Event, Leases, Loss, Trouble};
+use gypsumkeel::schedule::{Capacity, Event, Leases, Listing, Loss, Trouble};
 use model::{Fault, LEASE, Model, listing, spec};
 
 const SEED: u64 = 11;
@@ -396,6 +396,51 @@
     assert!(model.targets[0].starts > 2, "the restarted target was not used again");
 }
 
+/// The entry is that of another writer, as the target has not been restarted.
+#[test]
+fn a_start_time_that_the_target_does_not_confirm_ends_no_attempt() {
+    let mut model = world(1);
+    model.submit(100, 0, 1, spec("j1", 2, 7, 800), 800, 10_000);
+    model.run(200);
+    let odd = Listing { incarnation: 1 << 40, ..listing("t0", 16, "r0") };
+    model.event(200, 0, Event::Targets(vec![odd]));
+    model.event(300, 0, Event::Targets(vec![listing("t0", 16, "r0")]));
+    model.run(2000);
+    assert_eq!(model.outcome(1), Some(&Outcome::Done));
+    assert_eq!(model.targets[0].starts, 2);
+    model.submit(2000, 0, 2, spec("j2", 2, 7, 50), 50, 5000);
+    model.run(3000);
+    assert_eq!(model.outcome(2), Some(&Outcome::Done), "the target is used again");
+}
+
+/// Capacities and estimates at the limit of their type must neither overflow nor cost other batches their turn.
+#[test]
+fn the_largest_numbers_do_no_harm() {
+    let mut huge = listing("t0", 16, "r0");
+    huge.capacity = Resources { cpu: u64::MAX, memory: u64::MAX, gpu: u64::MAX };
+    let mut other = huge.clone();
+    other.id = Arc::from("t1");
+    let mut model = Model::new(1, vec![huge, other], SEED);
+    model.submit(100, 0, 1, spec("j1", 2, 7, u64::MAX), 50, u64::MAX);
+    model.submit(110, 0, 2, spec("j2", 4, 7, 50), 50, 5000);
+    model.run(1000);
+    assert_eq!(model.outcome(1), Some(&Outcome::Done));
+    assert_eq!(model.outcome(2), Some(&Outcome::Done));
+    let mut endless = spec("j3", 10_000, 1, u64::MAX);
+    endless.steps[0].need.cpu = u64::MAX;
+    for batch in 3..6 {
+        model.submit(1000, 0, batch, endless.clone(), 50, u64::MAX);
+    }
+    model.submit(1200, 0, 6, spec("j6", 1, 7, 50), 50, 300);
+    model.run(2000);
+    match model.outcome(6) {
+        Some(Outcome::Refused { reason: Refusal::Overload, retry_after }) => {
+            assert!(*retry_after <= Millis::from_secs(60), "{retry_after}");
+        }
+        other => panic!("all cores are taken: {other:?}"),
+    }
+}
+
 #[test]
 fn a_draining_target_gets_no_new_tasks() {
     let mut model = world(2);
