Use no worker whose id, port or numbers are out of range

A key such as servers/x/w-1 took the place of worker w-1.

The id is all that follows the prefix, of visible ASCII without slashes; room is bounded, so that sums can't overflow; the start time is an exact JSON integer; port 0 names nobody. A header with other characters fails before anything is sent.

--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -130,10 +130,12 @@
         future::poll_once(peek).await.is_some()
     }
 
-    /// Sends a request and reads the whole response; fails with [`Error::Lost`], also after the request's timeout.
+    /// Sends a request and reads the whole response; fails with [`Error::Lost`], also after the request's timeout. A
+    /// path or header that HTTP can't carry fails with [`Error::Unsent`].
     pub async fn send(&mut self, request: &Request<'_>) -> Result<Response, Error> {
+        let message = self.message(request).map_err(|error| Error::Unsent(error.to_string()))?;
         let exchange =
-            async { self.exchange(request).await.map_err(|error| Error::Lost(error.to_string())) };
+            async { self.exchange(message).await.map_err(|error| Error::Lost(error.to_string())) };
         let expired = async {
             Timer::after(request.timeout.duration()).await;
             Err(Error::Lost(format!("no response within {}", request.timeout)))
@@ -153,13 +155,24 @@
         drop(self.stream.shutdown(std::net::Shutdown::Both));
     }
 
-    async fn exchange(&self, request: &Request<'_>) -> Result<Response, http_types::Error> {
+    /// The request in the form of the HTTP library.
+    fn message(&self, request: &Request<'_>) -> Result<http_types::Request, http_types::Error> {
         let url = self.base.join(request.path)?;
         let mut message = http_types::Request::new(request.method, url);
         for (name, value) in request.headers {
+            // The library panics on text that is not ASCII, and sends a line break as it is.
+            if !value.bytes().all(|byte| byte == b' ' || byte.is_ascii_graphic()) {
+                return Err(
+                    io::Error::other(format!("header {name} has invalid characters")).into()
+                );
+            }
             message.insert_header(*name, *value);
         }
         message.set_body(request.body);
+        Ok(message)
+    }
+
+    async fn exchange(&self, message: http_types::Request) -> Result<Response, http_types::Error> {
         let mut response = async_h1::connect(self.stream.clone(), message).await?;
         let mut body = Vec::new();
         let source = response.take_body();
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -19,7 +19,8 @@
 use crate::vm::{self, Adapter, Client, Endpoints, Node, Site};
 
 use front::{Callers, Metrics, Readiness};
-use kv::Kv;
+pub use kv::Kv;
+pub use request::{Error as JobError, decode as decode_job};
 pub use settings::{Fault, Settings};
 
 /// An error that keeps a VM from running on the platform.
@@ -59,7 +60,7 @@
 
 /// Decodes the platform's entries in the store, and connects to its workers.
 #[derive(Debug)]
-struct Platform;
+pub struct Platform;
 
 impl Adapter for Platform {
     fn routes_key(&self) -> &'static str {
@@ -67,7 +68,7 @@
     }
 
     fn targets_prefix(&self) -> &'static str {
-        "servers/"
+        worker::PREFIX
     }
 
     fn decode_routes(&self, text: &[u8]) -> Result<Table, String> {
--- a/src/platform/worker.rs
+++ b/src/platform/worker.rs
@@ -1,5 +1,6 @@
 //! The platform's workers, which are the targets: their entries in the store, and the client that calls them.
 
+use std::fmt;
 use std::net::SocketAddr;
 use std::str::FromStr as _;
 use std::sync::Arc;
@@ -31,6 +32,15 @@
 /// The age up to which an idle connection is reused.
 const IDLE_AGE_MAX: Millis = Millis::from_secs(20);
 
+/// The prefix of the keys of workers' entries; the worker's id follows.
+pub const PREFIX: &str = "servers/";
+
+/// The most of each resource that a worker may have, so that sums over all workers can't overflow.
+const CAPACITY_MAX: u64 = 1 << 32;
+
+/// The latest start time of a worker, in milliseconds: the largest integer that every JSON number carries exactly.
+const INCARNATION_MAX: u64 = (1 << 53) - 1;
+
 /// A worker's entry in the store.
 #[derive(Debug, Deserialize)]
 struct Registration {
@@ -70,12 +80,59 @@
     gpu: u64,
 }
 
+/// Why an entry names no usable worker.
+#[derive(Debug)]
+pub enum Unusable {
+    /// The key has no id of visible ASCII characters, as a header needs it.
+    Id,
+    /// The value is not valid JSON of the expected form.
+    Value(serde_json::Error),
+    /// The address has port 0.
+    Port,
+    /// A resource is above [`CAPACITY_MAX`].
+    Capacity,
+    /// The start time is above [`INCARNATION_MAX`].
+    Incarnation,
+}
+
+impl fmt::Display for Unusable {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Id => {
+                write!(f, "no id of visible ASCII characters after {PREFIX}; correct the key")
+            }
+            Self::Value(error) => write!(f, "{error}; correct the entry"),
+            Self::Port => write!(f, "addr has port 0; correct the entry"),
+            Self::Capacity => write!(f, "room is above {CAPACITY_MAX}; correct the entry"),
+            Self::Incarnation => write!(f, "born is above {INCARNATION_MAX}; correct the entry"),
+        }
+    }
+}
+
+impl std::error::Error for Unusable {}
+
+/// The id in the key of a worker's entry.
+fn id(key: &str) -> Option<&str> {
+    let id = key.strip_prefix(PREFIX)?;
+    let is_visible = id.bytes().all(|byte| byte.is_ascii_graphic() && byte != b'/');
+    Some(id).filter(|id| is_visible && !id.is_empty())
+}
+
 /// Decodes a worker's entry. The error says why the entry names no usable worker.
-pub fn decode(entry: &Entry) -> Result<Site, String> {
+pub fn decode(entry: &Entry) -> Result<Site, Unusable> {
+    let id = id(&entry.key).ok_or(Unusable::Id)?;
     let registration =
-        serde_json::from_slice::<Registration>(&entry.value).map_err(|e| e.to_string())?;
-    let id = entry.key.rsplit('/').next().unwrap_or_default();
+        serde_json::from_slice::<Registration>(&entry.value).map_err(Unusable::Value)?;
     let Capacity { cpu, memory, gpu } = registration.capacity;
+    if cpu.max(memory).max(gpu) > CAPACITY_MAX {
+        return Err(Unusable::Capacity);
+    }
+    if registration.incarnation > INCARNATION_MAX {
+        return Err(Unusable::Incarnation);
+    }
+    if registration.address.port() == 0 {
+        return Err(Unusable::Port);
+    }
     let listing = Listing {
         id: Arc::from(id),
         service: Arc::from(registration.service),
--- /dev/null
+++ b/tests/decoders.rs
@@ -0,0 +1,240 @@
+//! Property tests of what decodes input from outside: malformed and extreme input is decoded or refused, and never ends
+//! the process, hangs or hides what is sound beside it.
+
+#[path = "cases/mod.rs"]
+mod cases;
+#[path = "platform/mod.rs"]
+mod platform;
+
+use std::collections::BTreeSet;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex};
+
+use arbtest::arbitrary::{Result, Unstructured};
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use cases::{check_all, check_some, mangle};
+use gypsumkeel::batch::Terms;
+use gypsumkeel::clock::Millis;
+use gypsumkeel::http::server::Handler;
+use gypsumkeel::platform::{JobError, Kv, Platform, decode_job};
+use gypsumkeel::route::Route;
+use gypsumkeel::schedule::{Action, Engine, Event, Reply, Rules};
+use gypsumkeel::store::{Entry, Store as _};
+use gypsumkeel::vm::{Adapter as _, Site};
+use http_types::{Request, Response};
+use serde_json::{Value, json};
+
+const WORKER: &str = r#"{"service":"desk","addr":"127.0.0.1:7101","zone":"a","version":"v1","slots":8,
+    "state":"ready","coldLeftMs":0,"room":{"cpu":16000,"memMb":32000,"gpu":0},"labels":["kind","r1"],
+    "born":1700000000000,"seq":1}"#;
+
+const REPORT: &str = r#"{"clockMs":482113,"born":1700000000000,
+    "running":[["5c0e7a21d94b36f8.0.1.17",2,"",41,7000]],
+    "ended":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""]]}"#;
+
+const JOB: &str = r#"{"spec":"text","bestEffort":true,"steps":[
+    {"count":4,"cpu":500,"memMb":256,"estMs":900,"affinity":"r1"},
+    {"count":20,"cpu":2000,"memMb":1024,"estMs":7000,"after":[0],"maxPerServer":2}]}"#;
+
+const CONFIGURATION: &str = r#"{"version":7,"routes":[{"name":"holds","host":"desk.example",
+    "prefix":"/holds/","timeoutMs":5000,"sloMs":500,"priority":0,"service":"desk","attempts":3,
+    "stretch":2.0}],"limits":{"maxBodyBytes":262144}}"#;
+
+/// Responds with the same body to every request.
+#[derive(Debug, Default)]
+struct Fixed {
+    body: Mutex<Vec<u8>>,
+}
+
+impl Handler for Fixed {
+    fn answer(
+        self: Arc<Self>,
+        _request: Request,
+    ) -> Pin<Box<dyn Future<Output = Response> + Send>> {
+        let mut response = Response::new(200);
+        response.set_body(self.body.lock().unwrap().clone());
+        Box::pin(async move { response })
+    }
+
+    fn body_max(&self) -> u64 {
+        1 << 20
+    }
+}
+
+fn entry(key: &str, value: &[u8]) -> Entry {
+    Entry { key: key.to_owned(), value: value.to_vec(), index: 1 }
+}
+
+fn site() -> Site {
+    let site = Platform.decode_target(&entry("servers/w-1", WORKER.as_bytes()));
+    site.expect("the sample names a worker")
+}
+
+#[test]
+fn any_entry_names_a_usable_worker_or_none() {
+    check_all(|u| {
+        let key = match u.int_in_range(0..=3)? {
+            0 => String::from_utf8_lossy(&mangle(u, "servers/w-1")?).into_owned(),
+            _ => "servers/w-1".to_owned(),
+        };
+        let Some(site) = Platform.decode_target(&entry(&key, &mangle(u, WORKER)?)) else {
+            return Ok(());
+        };
+        let id = &site.listing.id;
+        assert_eq!(key, format!("servers/{id}"));
+        assert!(id.bytes().all(|byte| byte.is_ascii_graphic()), "{id:?}");
+        assert_ne!(site.address.port(), 0);
+        Ok(())
+    });
+}
+
+/// What a worker reports is decoded by its client, then handled by the scheduler.
+#[test]
+fn any_report_of_a_worker_is_borne() {
+    let api = Arc::<Fixed>::default();
+    let address = platform::serve(Arc::clone(&api) as Arc<dyn Handler>);
+    let client = Platform.client(&Site { address, ..site() });
+    check_some(|u| {
+        *api.body.lock().unwrap() = mangle(u, REPORT)?;
+        let mut engine = engine();
+        let mut actions = Vec::new();
+        let acquire = Event::Acquire { target: Arc::from("w-1"), round: 0 };
+        engine.handle(Millis(1), acquire, &mut actions);
+        for now in 2..6 {
+            let calls = std::mem::take(&mut actions);
+            for (call, action) in
+                calls.into_iter().filter_map(|action| Some((id(&action)?, action)))
+            {
+                let reply = smol::block_on(Arc::clone(&client).call(action));
+                engine.handle(Millis(now * 100), Event::Reply { call, reply }, &mut actions);
+            }
+            engine.handle(Millis(now * 100), Event::Tick, &mut actions);
+        }
+        engine.load(Millis(600));
+        engine.capacity(Millis(600));
+        Ok(())
+    });
+}
+
+/// The id of the call that an action asks for.
+fn id(action: &Action) -> Option<u64> {
+    match action {
+        Action::Start { call, .. } | Action::Stop { call, .. } | Action::Poll { call, .. } => {
+            Some(*call)
+        }
+        _ => None,
+    }
+}
+
+/// An engine that knows one target.
+fn engine() -> Engine {
+    let rules = Rules { lease_max: Millis(1000), far_factor: 2.0, unlisted_max: Millis(2500) };
+    let mut engine = Engine::new(1, rules);
+    engine.handle(Millis::ZERO, Event::Targets(vec![site().listing]), &mut Vec::new());
+    engine
+}
+
+fn route() -> Route {
+    Route {
+        name: Arc::from("holds"),
+        host: "desk.example".to_owned(),
+        prefix: "/holds/".to_owned(),
+        service: Arc::from("desk"),
+        terms: Terms { priority: 0, attempts: 3, stretch: 2.0, allowance: Millis(500) },
+        timeout: Millis(5000),
+    }
+}
+
+#[test]
+fn any_job_is_decoded_and_scheduled_or_refused() {
+    check_all(|u| {
+        let spec = match decode_job("5c0e7a21d94b36f8", &route(), &mangle(u, JOB)?) {
+            Ok(spec) => Arc::new(spec),
+            Err(error @ (JobError::Unreadable(_) | JobError::Invalid(_))) => {
+                assert!(error.to_string().contains(';'), "no remedy in {error}");
+                return Ok(());
+            }
+            Err(JobError::Unsupported(_)) => return Ok(()),
+        };
+        let mut engine = engine();
+        let mut actions = Vec::new();
+        let acquire = Event::Acquire { target: Arc::from("w-1"), round: 0 };
+        engine.handle(Millis(1), acquire, &mut actions);
+        let call = actions.iter().find_map(id).expect("a poll");
+        let snapshot = gypsumkeel::schedule::Snapshot {
+            clock: Millis(482_113),
+            incarnation: Some(1_700_000_000_000),
+            running: Vec::new(),
+            completions: Vec::new(),
+        };
+        let reply = Reply::Polled(snapshot);
+        engine.handle(Millis(2), Event::Reply { call, reply }, &mut actions);
+        for batch in 1..=3 {
+            let submit = Event::Submit {
+                batch,
+                spec: Arc::clone(&spec),
+                age: Millis(u.arbitrary()?),
+                time_left: Millis(u.arbitrary()?),
+            };
+            engine.handle(Millis(3), submit, &mut actions);
+        }
+        engine.handle(Millis(60), Event::Tick, &mut actions);
+        engine.load(Millis(60));
+        Ok(())
+    });
+}
+
+#[test]
+fn any_configuration_is_decoded_or_refused() {
+    check_all(|u| {
+        let text = mangle(u, CONFIGURATION)?;
+        if let Ok(table) = Platform.decode_routes(&text) {
+            assert!(table.len() <= 1 || text.len() > CONFIGURATION.len(), "{table:?}");
+        }
+        Ok(())
+    });
+}
+
+/// An item of the store with another value for one field.
+fn odd_item(u: &mut Unstructured<'_>, key: &str) -> Result<Value> {
+    let mut item = json!({ "key": key, "value": "", "rev": 3, "createdRev": 3, "lease": 0 });
+    let field = *u.choose(&["key", "value", "rev", "removed"])?;
+    let values = [json!(null), json!(-1), json!(1e300), json!("***"), json!([[[]]]), json!({})];
+    item[field] = u.choose(&values)?.clone();
+    Ok(item)
+}
+
+#[test]
+fn sound_items_of_the_store_are_read_beside_odd_ones() {
+    let api = Arc::<Fixed>::default();
+    let address = platform::serve(Arc::clone(&api) as Arc<dyn Handler>);
+    check_some(|u| {
+        let mut items = Vec::new();
+        let mut sound = BTreeSet::new();
+        for index in 0..u.int_in_range(1..=8)? {
+            let key = format!("servers/{index}");
+            if u.ratio(1, 2)? {
+                items.push(odd_item(u, &format!("servers/odd-{index}"))?);
+            } else {
+                let value = STANDARD.encode(WORKER);
+                items.push(json!({ "key": key, "value": value, "rev": 2, "lease": 0 }));
+                sound.insert(key);
+            }
+        }
+        let body = |list: &str| json!({ list: items, "truncated": false, "asOf": 9 }).to_string();
+        *api.body.lock().unwrap() = body("items").into_bytes();
+        let kv = Kv::new(address);
+        let read = smol::block_on(kv.list("servers/", 0, Millis::ZERO)).expect("a list");
+        let keys = read.value.iter().map(|entry| entry.key.clone()).collect::<BTreeSet<_>>();
+        assert!(keys.is_superset(&sound), "{keys:?} lacks some of {sound:?}");
+        *api.body.lock().unwrap() = body("events").into_bytes();
+        let read = smol::block_on(kv.list("servers/", 9, Millis(1))).expect("changes");
+        let keys = read.value.iter().map(|entry| entry.key.clone()).collect::<BTreeSet<_>>();
+        assert!(keys.is_superset(&sound), "{keys:?} lacks some of {sound:?}");
+        // The text as a whole may be broken too: an error, no end.
+        *api.body.lock().unwrap() = mangle(u, &body("events"))?;
+        drop(smol::block_on(kv.list("servers/", 9, Millis(1))));
+        Ok(())
+    });
+}
--- a/tests/platform/kv.rs
+++ b/tests/platform/kv.rs
@@ -70,6 +70,11 @@
         items.put(key, STANDARD.encode(value.to_string()), 0);
     }
 
+    /// Writes a key with the text that stands for its value, which need not be valid base64.
+    pub fn put_encoded(&self, key: &str, text: &str) {
+        self.state.items.lock().unwrap().put(key, text.to_owned(), 0);
+    }
+
     pub fn remove(&self, key: &str) {
         self.state.items.lock().unwrap().remove(key);
     }
--- a/tests/platform/mod.rs
+++ b/tests/platform/mod.rs
@@ -44,7 +44,7 @@
 static THREADS: LazyLock<()> = LazyLock::new(|| runtime::start(2).expect("threads"));
 
 /// Serves a fake service on a free port.
-fn serve(handler: Arc<dyn Handler>) -> SocketAddr {
+pub fn serve(handler: Arc<dyn Handler>) -> SocketAddr {
     LazyLock::force(&THREADS);
     let listener = smol::block_on(TcpListener::bind("127.0.0.1:0")).expect("bind a fake service");
     let address = listener.local_addr().expect("an address");
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -1,10 +1,13 @@
 //! Property tests of the job aggregate, the table of keys, and the parsers of jobs, keys and frames.
 
+#[path = "cases/mod.rs"]
+mod cases;
+
 use std::collections::HashMap;
 use std::sync::Arc;
 
 use arbtest::arbitrary::{Result, Unstructured};
-use arbtest::arbtest;
+use cases::check_all;
 use gypsumkeel::clock::Millis;
 use gypsumkeel::dispatch::{Delegation, Report};
 use gypsumkeel::job::{
@@ -13,31 +16,6 @@
 };
 use gypsumkeel::wire::{Call, Error, Frame, Hello, Reply, VERSION};
 
-/// Number of cases per property. Their seeds are fixed, so every run checks the same cases.
-const CASES: u64 = 3000;
-
-/// Maximum size of the input that a case is generated from, in bytes.
-const SIZE_MAX: u64 = 400;
-
-/// The seed of the current case, printed if the case fails.
-struct Seed(u64);
-
-impl Drop for Seed {
-    fn drop(&mut self) {
-        if std::thread::panicking() {
-            eprintln!("failed with seed {:#018x}", self.0);
-        }
-    }
-}
-
-/// Checks a property with [`CASES`] fixed seeds. The low 32 bits of a seed are the size of its input in bytes.
-fn check_all(mut property: impl FnMut(&mut Unstructured<'_>) -> Result<()>) {
-    for case in 1..=CASES {
-        let seed = Seed((case.wrapping_mul(0x9e37_79b9) << 32) | (1 + case % SIZE_MAX));
-        arbtest(&mut property).seed(seed.0).run();
-    }
-}
-
 fn spec(tasks: usize, repeatable: bool) -> Arc<Spec> {
     let task = Task { payload: "{}".into(), expected: None };
     Arc::new(Spec {
