--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -15,6 +15,7 @@
 use smol::io::{AsyncRead, AsyncWrite, AsyncWriteExt as _};
 use smol::net::{TcpListener, TcpStream};
 
+use crate::accept;
 use crate::clock::Millis;
 use crate::job::{Execution, Failure, Reason};
 use crate::runtime;
@@ -76,19 +77,15 @@
     fn body_max(&self) -> u64;
 }
 
-/// Accepts and serves connections until the listener fails with an error that does not pass by itself.
+/// Accepts and serves connections, forever.
 pub async fn serve(
     listener: TcpListener,
     rules: Rules,
     traffic: Arc<Traffic>,
     handler: Arc<dyn Handler>,
-) -> io::Result<()> {
+) {
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) if is_transient(&error) => continue,
-            Err(error) => return Err(error),
-        };
+        let stream = accept::next(&listener).await;
         drop(stream.set_nodelay(true));
         let handler = Arc::clone(&handler);
         let traffic = Arc::clone(&traffic);
@@ -105,15 +102,6 @@
     }
 }
 
-/// Whether the next call of `accept` may succeed.
-fn is_transient(error: &io::Error) -> bool {
-    use io::ErrorKind::{ConnectionAborted, ConnectionReset, Interrupted};
-    // Too many open files.
-    const EMFILE: i32 = 24;
-    matches!(error.kind(), ConnectionAborted | ConnectionReset | Interrupted)
-        || error.raw_os_error() == Some(EMFILE)
-}
-
 /// Responds to a connection over the limit without reading from it.
 async fn refuse_connection(mut stream: TcpStream) {
     let detail = "too many connections; reuse one, or try another VM";
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! slot of a target. In [`vm`] and [`schedule`], which [`platform`] adapts to the users' platform, jobs are batches
 //! whose tasks run under leases and take cores and memory. Most other modules are used by both.
 
+pub mod accept;
 pub mod audit;
 pub mod batch;
 pub mod check;
--- a/src/peer/links.rs
+++ b/src/peer/links.rs
@@ -17,6 +17,7 @@
 use smol::future::FutureExt as _;
 use smol::net::{TcpListener, TcpStream};
 
+use crate::accept;
 use crate::clock::Millis;
 use crate::event;
 use crate::job::Incarnation;
@@ -36,9 +37,6 @@
 /// Failures in a row after which an address is given up if no VM is expected there.
 const DIAL_FAILURES_MAX: u32 = 200;
 
-/// The pause after a failure to accept a connection.
-const ACCEPT_PAUSE: Millis = Millis(20);
-
 /// The capacity of the send queue of an accepted link, in frames. The queue allocates all of it at once.
 const REPLY_QUEUE_FRAMES: usize = 256;
 
@@ -184,14 +182,7 @@
     /// Accepts connections from other VMs, forever.
     pub async fn listen(self: Arc<Self>, listener: TcpListener, handler: Arc<dyn Handler>) {
         loop {
-            let stream = match listener.accept().await {
-                Ok((stream, _)) => stream,
-                Err(error) => {
-                    event!(warn, "accept-failed", reason = error);
-                    Timer::after(ACCEPT_PAUSE.duration()).await;
-                    continue;
-                }
-            };
+            let stream = accept::next(&listener).await;
             let (links, handler) = (Arc::clone(&self), Arc::clone(&handler));
             runtime::spawn(async move {
                 if let Err(why) = links.serve(stream, &handler).await {
--- a/src/serve/start.rs
+++ b/src/serve/start.rs
@@ -146,8 +146,7 @@
         connections_max: callers.connections_max,
         head_timeout: callers.head_timeout,
     };
-    let result = server::serve(listener, rules, Arc::clone(&node.traffic), node).await;
-    invariant!(result.is_ok(), "the callers' listener failed: {result:?}");
+    server::serve(listener, rules, Arc::clone(&node.traffic), node).await;
 }
 
 async fn watch_config(node: Arc<Node>) {
--- a/src/vm/start.rs
+++ b/src/vm/start.rs
@@ -142,8 +142,7 @@
 
 async fn serve_endpoint(listener: TcpListener, traffic: Arc<Traffic>, handler: Arc<dyn Server>) {
     let rules = server::Rules { connections_max: CONNECTIONS_MAX, head_timeout: HEAD_TIMEOUT };
-    let result = server::serve(listener, rules, traffic, handler).await;
-    invariant!(result.is_ok(), "a listener failed: {result:?}");
+    server::serve(listener, rules, traffic, handler).await;
 }
 
 async fn keep_lease(node: Arc<Node>) {
