Keep to the grace period of the last settings file

Cause: the time for a drain was read at the start only. Where the platform has shortened the grace period since, with or without a signal, a VM was still draining when it was killed (reload: stopped after 2,312 ms of 2,000 before).

The settings are read again at the signal to stop.

--- a/src/vm/stop.rs
+++ b/src/vm/stop.rs
@@ -14,7 +14,7 @@
 use crate::peer::Handler;
 use crate::schedule::Event;
 
-use super::node::Node;
+use super::node::{Node, Settings};
 
 /// The interval between two checks whether the drain is complete.
 const CHECK_EVERY: Millis = Millis(20);
@@ -37,16 +37,21 @@
         }
     }
     let began_at = node.now();
+    // The settings may have changed without a signal, and with them the time until the kill.
+    let (drain_min, drain_max) = load_settings(node).map_or_else(
+        || (node.settings.drain_min, node.settings.drain_max),
+        |settings| (settings.drain_min, settings.drain_max),
+    );
     event!(info, "drain-begin", unfinished = node.unfinished(), requests = node.traffic.busy());
     node.drain();
     loop {
         let elapsed = node.now() - began_at;
-        if elapsed >= node.settings.drain_min {
+        if elapsed >= drain_min {
             node.traffic.close_idle();
         }
         let is_idle =
             node.traffic.busy() == 0 && node.unfinished() == 0 && node.links.unsent_replies() == 0;
-        if elapsed >= node.settings.drain_max || (is_idle && elapsed >= node.settings.drain_min) {
+        if elapsed >= drain_max || (is_idle && elapsed >= drain_min) {
             break;
         }
         Timer::after(CHECK_EVERY.duration()).await;
@@ -69,13 +74,7 @@
 /// Reads the settings again and applies what can change at run time: seeds and rules. The log says whether other
 /// changes need a restart.
 fn reload(node: &Arc<Node>) {
-    let settings = match node.adapter.load_settings() {
-        Ok(settings) => settings,
-        Err(reason) => {
-            event!(warn, "reload-refused", reason = reason);
-            return;
-        }
-    };
+    let Some(settings) = load_settings(node) else { return };
     let current = &node.settings;
     let needs_restart = (settings.peers, settings.callers, &settings.vm)
         != (current.peers, current.callers, &current.vm);
@@ -86,3 +85,12 @@
     }
     node.handle(Event::Rules(settings.rules));
 }
+
+/// Reads the settings again; logs why if they can't be read.
+fn load_settings(node: &Node) -> Option<Settings> {
+    let settings = node.adapter.load_settings();
+    if let Err(reason) = &settings {
+        event!(warn, "reload-refused", reason = reason);
+    }
+    settings.ok()
+}
--- a/tests/platform/mod.rs
+++ b/tests/platform/mod.rs
@@ -205,9 +205,21 @@
         index
     }
 
+    /// Replaces the settings file of a VM as a whole.
+    pub fn write_settings(&self, index: usize, text: &str) {
+        let file = self.settings_file(index);
+        let new = file.with_extension("new");
+        fs::write(&new, text).unwrap();
+        fs::rename(&new, &file).unwrap();
+    }
+
+    fn settings_file(&self, index: usize) -> PathBuf {
+        self.directory.join(format!("{index}.json"))
+    }
+
     /// Starts the process of a VM.
     pub fn launch(&self, index: usize) -> Vm {
-        let file = self.directory.join(format!("{index}.json"));
+        let file = self.settings_file(index);
         fs::write(&file, self.settings(index).to_string()).unwrap();
         let mut child = Command::new(env!("CARGO_BIN_EXE_gypsumkeel"))
             .arg("platform")
