--- a/src/platform/kv/mod.rs
+++ b/src/platform/kv/mod.rs
@@ -14,7 +14,7 @@
 
 use crate::clock::Millis;
 use crate::http::{Limits, Pool, Request, Response};
-use crate::store::{Call, Calls, Condition, Counter, Entry, Error, Index, Read, Store, Vm};
+use crate::store::{Call, Calls, Condition, Counter, Entry, Error, Index, Read, Store, Vm, json};
 
 use item::{Changes, Item, Page, Snapshot};
 
@@ -178,15 +178,6 @@
     utf8_percent_encode(key, ESCAPED).to_string()
 }
 
-/// Decodes the body of a successful response.
-fn json<'a, T: Deserialize<'a>>(response: &'a Response) -> Result<T, Error> {
-    if response.status != 200 {
-        let text = String::from_utf8_lossy(&response.body).trim().to_owned();
-        return Err(Error::Refused { status: response.status, text });
-    }
-    serde_json::from_slice(&response.body).map_err(|error| Error::Unreadable(error.to_string()))
-}
-
 #[derive(Debug, Default, Serialize)]
 struct Transaction<'a> {
     /// The preconditions, all of which must hold.
--- a/src/schedule/engine.rs
+++ b/src/schedule/engine.rs
@@ -3,30 +3,24 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
 
-use crate::batch::{Outcome, Refusal, Spec, Step};
+use crate::batch::{Outcome, Spec, Step};
 use crate::clock::Millis;
 
 use super::arrivals::Arrivals;
-use super::batch::{Batch, Times};
+use super::batch::Batch;
 use super::call::Call;
 use super::capacity::Leases;
-use super::event::{Account, Action, BatchId, CallId, Event, Listing, Load, Loss, Rules};
+use super::event::{Account, Action, BatchId, CallId, Event, Load, Rules};
 use super::fence::Fence;
 use super::history::History;
 use super::latency::Latency;
-use super::queue::{Class, Queue, Rank, Work, time_for};
-use super::speed::{Mean, Speeds};
-use super::target::{Attempt, Health, Phase, Target};
+use super::queue::{Queue, time_for};
+use super::speed::Speeds;
+use super::target::{Phase, Target};
 
 /// The time between ticks while anything waits or runs.
 const TICK: Millis = Millis(50);
 
-/// The shortest time after which a refused caller is told to retry.
-const RETRY_AFTER_MIN: Millis = Millis(1000);
-
-/// The longest time after which a refused caller is told to retry, whatever the waiting batches declare.
-const RETRY_AFTER_MAX: Millis = Millis::from_secs(60);
-
 /// How much slower than this VM's clock a target's clock may run, in percent.
 const CLOCK_LOSS_PERCENT: u64 = 2;
 
@@ -37,11 +31,11 @@
 #[derive(Debug)]
 pub struct Engine {
     pub(super) rules: Rules,
-    token: Fence,
+    pub(super) token: Fence,
     pub(super) targets: Vec<Target>,
-    index_by_id: HashMap<Arc<str>, usize>,
+    pub(super) index_by_id: HashMap<Arc<str>, usize>,
     pub(super) batches: BTreeMap<BatchId, Batch>,
-    history: History,
+    pub(super) history: History,
     pub(super) queue: Queue,
     /// The arrival rate of batches that can meet their objective.
     pub(super) arrivals: Arrivals,
@@ -52,7 +46,7 @@
     next_call: CallId,
     /// The event sequence, which tells what was sent before what.
     pub(super) sequence: u64,
-    draining: bool,
+    pub(super) draining: bool,
     pub(super) leases: Leases,
     /// Whether anything has changed that may let a waiting task start.
     pub(super) needs_placement: bool,
@@ -183,117 +177,6 @@
         self.speeds.expected(&spec.queue, step.estimate)
     }
 
-    fn submit(
-        &mut self,
-        now: Millis,
-        id: BatchId,
-        spec: Arc<Spec>,
-        age: Millis,
-        time_left: Millis,
-        actions: &mut Vec<Action>,
-    ) {
-        let times = Times {
-            sent_at: now - age,
-            received_at: now,
-            caller_deadline: now + time_left,
-            critical_path: spec.critical_path(|step| self.expected(&spec, step)),
-        };
-        let mut batch = Batch::new(spec, times);
-        batch.number_above(self.history.highest(&batch.spec.id));
-        batch.awaits_duplicate = self.has_duplicate(id, &batch.spec.id);
-        if self.draining || !self.could_run(&batch) {
-            let account = batch.account;
-            actions.push(Action::End { batch: id, outcome: Outcome::Moved, account });
-            return;
-        }
-        batch.account.backlog = self.load(now).backlog;
-        if let Some(outcome) = self.refusal(now, id, &mut batch) {
-            let account = batch.account;
-            actions.push(Action::End { batch: id, outcome, account });
-            return;
-        }
-        if !batch.demoted {
-            let tasks = 0..batch.tasks.len();
-            self.arrivals.add(now, self.work(&batch, tasks));
-        }
-        self.batches.insert(id, batch);
-        self.enqueue(now, id);
-        self.needs_placement = true;
-    }
-
-    /// The work of the given tasks of a batch.
-    fn work(&self, batch: &Batch, tasks: impl IntoIterator<Item = usize>) -> Work {
-        let work = tasks.into_iter().map(|task| {
-            let step = &batch.spec.steps[batch.tasks[task].step];
-            let duration = self.expected(&batch.spec, step);
-            Work::from(step.need.cpu.max(1)) * Work::from(duration.0.max(1))
-        });
-        work.sum()
-    }
-
-    /// The refusal of a batch that can't end by its deadline behind the batches that wait already. Demotes the batch
-    /// if it can't meet its objective.
-    fn refusal(&self, now: Millis, id: BatchId, batch: &mut Batch) -> Option<Outcome> {
-        let factor = self.best_factor(now, batch)?;
-        let class = Class::of(batch, now + scaled(batch.critical_path, factor));
-        let end = self.expected_end(now, id, batch, class, factor);
-        let class = class.max(Class::of(batch, end));
-        let end = self.expected_end(now, id, batch, class, factor);
-        batch.demoted = class != Class::Timely;
-        (end > batch.deadline).then(|| self.overload(now))
-    }
-
-    /// When a batch of a class would end behind the batches ahead of it.
-    fn expected_end(
-        &self,
-        now: Millis,
-        id: BatchId,
-        batch: &Batch,
-        class: Class,
-        factor: f64,
-    ) -> Millis {
-        let ahead = self.queue.ahead_of(&Rank::of(id, batch, class));
-        let wait = time_for(ahead, self.load(now).total_cpu);
-        now + wait + scaled(batch.critical_path, factor)
-    }
-
-    pub(super) fn overload(&self, now: Millis) -> Outcome {
-        let retry_after = self.load(now).backlog.clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX);
-        Outcome::Refused { reason: Refusal::Overload, retry_after }
-    }
-
-    /// Whether the owned targets could run all tasks of a batch if they were idle.
-    fn could_run(&self, batch: &Batch) -> bool {
-        batch.spec.steps.iter().all(|step| {
-            self.targets.iter().any(|target| {
-                target.phase == Phase::Owned
-                    && target.listing.service == batch.spec.service
-                    && target.listing.capacity.fits(&step.need)
-                    && has_label(target, step)
-            })
-        })
-    }
-
-    /// Whether attempts of another submission under the same caller's id may still run on any target.
-    pub(super) fn has_duplicate(&self, own: BatchId, id: &str) -> bool {
-        self.targets.iter().any(|target| {
-            let is_duplicate = |attempt: &Attempt| {
-                (attempt.orphan || attempt.batch != own) && &*attempt.name.job == id
-            };
-            target.attempts.iter().any(is_duplicate)
-                || target.foreign.iter().any(|(name, _)| &*name.job == id)
-        })
-    }
-
-    /// Updates the rank of a batch in the queue and the work of its ready tasks.
-    pub(super) fn enqueue(&mut self, now: Millis, id: BatchId) {
-        let Some(batch) = self.batches.get(&id) else { return };
-        let factor = self.best_factor(now, batch).unwrap_or(1.0);
-        let class = Class::of(batch, now + scaled(batch.critical_path, factor));
-        let work = self.work(batch, batch.ready.iter().copied());
-        self.queue.put(Rank::of(id, batch, class), work);
-    }
-
     /// Removes a batch, stops its attempts, and returns what it took.
     fn abandon(&mut self, id: BatchId, actions: &mut Vec<Action>) -> Option<Account> {
         let batch = self.batches.remove(&id)?;
@@ -312,85 +195,6 @@
         }
     }
 
-    fn update_targets(&mut self, now: Millis, listings: Vec<Listing>, actions: &mut Vec<Action>) {
-        let listed = listings.iter().map(|listing| Arc::clone(&listing.id)).collect::<HashSet<_>>();
-        for target in &mut self.targets {
-            if !listed.contains(&target.listing.id) {
-                target.unlisted_since.get_or_insert(now);
-            }
-        }
-        for listing in listings {
-            if let Some(&index) = self.index_by_id.get(&listing.id) {
-                self.update_listing(now, index, listing, actions);
-            } else {
-                self.index_by_id.insert(Arc::clone(&listing.id), self.targets.len());
-                self.targets.push(Target::new(listing, self.token));
-            }
-        }
-        self.needs_placement = true;
-    }
-
-    fn update_listing(
-        &mut self,
-        now: Millis,
-        index: usize,
-        listing: Listing,
-        actions: &mut Vec<Action>,
-    ) {
-        let target = &mut self.targets[index];
-        target.unlisted_since = None;
-        let may_have_restarted = listing.incarnation > target.incarnation;
-        target.listing = listing;
-        // Another writer may have left the entry, so only the target's own report shows that its attempts are gone.
-        if may_have_restarted && target.phase != Phase::Unowned {
-            target.unsynced = true;
-            target.next_poll_at = now;
-            self.reconcile(now, index, actions);
-        }
-    }
-
-    /// Resets what is known of a target whose process was restarted: no earlier attempt runs any longer.
-    pub(super) fn handle_restart(
-        &mut self,
-        now: Millis,
-        index: usize,
-        incarnation: u64,
-        actions: &mut Vec<Action>,
-    ) {
-        let target = &mut self.targets[index];
-        target.incarnation = incarnation;
-        target.acknowledged = 0;
-        target.long_poll = None;
-        target.clock = None;
-        target.foreign.clear();
-        target.health = Health::default();
-        target.speed = Mean::default();
-        target.slowness = self.speeds.slowness(&target.speed, target.kind());
-        target.unsynced = true;
-        self.drop_attempts(now, index);
-        self.reconcile(now, index, actions);
-    }
-
-    fn acquire(&mut self, now: Millis, id: &str, round: u64, actions: &mut Vec<Action>) {
-        let Some(&index) = self.index_by_id.get(id) else { return };
-        let target = &mut self.targets[index];
-        if target.phase != Phase::Unowned || self.draining {
-            return;
-        }
-        target.phase = Phase::Acquiring;
-        target.fence = target.fence.at(round.max(target.fence.round) + 1);
-        target.next_poll_at = now;
-        target.unreachable = false;
-        self.reconcile(now, index, actions);
-    }
-
-    fn cancel_acquire(&mut self, id: &str, actions: &mut Vec<Action>) {
-        let Some(&index) = self.index_by_id.get(id) else { return };
-        if self.targets[index].phase == Phase::Acquiring {
-            self.lose(index, Loss::Released, actions);
-        }
-    }
-
     fn drain(&mut self, now: Millis, actions: &mut Vec<Action>) {
         self.draining = true;
         let waiting = self.batches.iter().filter(|(_, batch)| !batch.started);
@@ -435,36 +239,6 @@
             self.end(id, outcome, actions);
         }
     }
-
-    /// Releases a target that the store has not listed for too long.
-    fn release_unlisted(&mut self, now: Millis, index: usize, actions: &mut Vec<Action>) {
-        let target = &self.targets[index];
-        let Some(since) = target.unlisted_since else { return };
-        let is_gone = now - since > self.rules.unlisted_max && target.attempts.is_empty();
-        if is_gone && target.phase != Phase::Unowned {
-            self.lose(index, Loss::Released, actions);
-        }
-    }
-
-    /// Releases an idle target if this VM is draining, unless a started batch waits to use it.
-    fn release_idle(&mut self, index: usize, actions: &mut Vec<Action>) {
-        let target = &self.targets[index];
-        let is_idle = target.attempts.is_empty() && target.phase != Phase::Unowned;
-        if self.draining && is_idle && self.queue.is_empty() {
-            self.lose(index, Loss::Released, actions);
-        }
-    }
-
-    /// Ends the ownership of a target. Attempts that still run there lapse, unless the next owner stops them first.
-    pub(super) fn lose(&mut self, index: usize, loss: Loss, actions: &mut Vec<Action>) {
-        let target = &mut self.targets[index];
-        target.phase = Phase::Unowned;
-        target.long_poll = None;
-        target.short_poll = None;
-        target.unsynced = false;
-        target.foreign.clear();
-        actions.push(Action::Lost { target: Arc::clone(&target.listing.id), loss });
-    }
 }
 
 /// Whether a target has the label that a step requires, if any.
--- a/src/schedule/mod.rs
+++ b/src/schedule/mod.rs
@@ -3,6 +3,7 @@
 //! It takes events with their time and returns actions. It does no I/O, reads no clock and starts no thread.
 //! Replies of targets may come late, twice, in any order or never.
 
+mod admission;
 mod arrivals;
 mod batch;
 mod call;
@@ -13,6 +14,7 @@
 mod fence;
 mod history;
 mod latency;
+mod listing;
 mod placement;
 mod poll;
 mod queue;
--- a/src/store/consul.rs
+++ b/src/store/consul.rs
@@ -13,6 +13,7 @@
 use crate::http::{self, Limits, Pool, Request};
 
 use super::calls::Counter;
+use super::response::json;
 use super::{Call, Calls, Condition, Entry, Error, Index, Read, Store, Vm};
 
 /// Idle connections kept in the pool.
@@ -97,14 +98,6 @@
     wait + Millis(wait.0 / 16)
 }
 
-fn json<T: DeserializeOwned>(response: &http::Response) -> Result<T, Error> {
-    if response.status != 200 {
-        let text = String::from_utf8_lossy(&response.body).trim().to_owned();
-        return Err(Error::Refused { status: response.status, text });
-    }
-    serde_json::from_slice(&response.body).map_err(|error| Error::Unreadable(error.to_string()))
-}
-
 impl From<http::Error> for Error {
     fn from(error: http::Error) -> Self {
         match error {
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -5,6 +5,7 @@
 mod cursor;
 mod decoder;
 mod memory;
+mod response;
 
 use std::fmt;
 use std::pin::Pin;
@@ -18,6 +19,7 @@
 pub use cursor::{Cursor, WATCH_WAIT};
 pub use decoder::Decoder;
 pub use memory::Memory;
+pub use response::json;
 
 /// A position in the store's sequence of changes. A watch waits for a change after a given index.
 pub type Index = u64;
