Let VMs with slow links own fewer targets

Cause: a domain had one owner for each 24 targets, whatever its link carried. Ruled out: processor time, 0.056 of 0.12 cores at the most.

Each VM publishes a quota of targets, from its link at 0.25 Mbit/s a target and at most 24; a domain has as many owners as their quotas require. Links of 6 Mbit/s and more change nothing. The largest quota is not written, so that frames and registrations keep their form.

ownership, vms_with_slow_links_share_the_targets_of_their_domain: with quotas taken as 24, one VM of four owned all 24 targets.

--- a/src/membership/view.rs
+++ b/src/membership/view.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::job::Incarnation;
+use crate::ownership::Quota;
 use crate::store::Index;
 
 /// What a VM publishes about itself.
@@ -27,9 +28,12 @@
     pub peer_address: SocketAddr,
     /// Whether the VM is draining: it is about to stop and accepts no new jobs.
     pub draining: bool,
-    /// The CPU that the VM may use, in thousandths of a core; 0 if not known.
+    /// The CPU that the VM may use, in thousandths of a core; 0 if unknown.
     #[serde(default)]
     pub cpu: u32,
+    /// How many targets the VM may own.
+    #[serde(default, skip_serializing_if = "Quota::is_largest")]
+    pub quota: Quota,
 }
 
 /// The version of a part of the view, ordered by epoch and then by index.
--- a/src/ownership/mod.rs
+++ b/src/ownership/mod.rs
@@ -4,6 +4,8 @@
 //! here therefore serve availability alone: an owner that is alive keeps its targets, and a target without an
 //! owner is acquired by the VM that every VM with the same view would choose.
 
+mod quota;
+
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -12,9 +14,7 @@
 use crate::clock::Millis;
 use crate::job::Incarnation;
 
-/// Targets of a failure domain per owner, if the domain has enough VMs. One scheduler with many targets packs
-/// tasks better than many schedulers with few targets each; a quarter of a core suffices for this many.
-const TARGETS_PER_OWNER: usize = 24;
+pub use quota::Quota;
 
 /// How long a VM waits for the first announcement of a newly known VM of its domain before it acquires targets.
 /// Bounds the wait for a VM that is registered but has no link, as happens just after a start.
@@ -60,6 +60,8 @@
     pub draining: bool,
     /// Thousandths of a core that the VM may use; 0 if unknown.
     pub cpu: u32,
+    /// How many targets the VM may own.
+    pub quota: Quota,
     /// Targets that the VM last announced as its own; `None` before its first announcement.
     pub owns: Option<BTreeSet<Arc<str>>>,
     /// When this incarnation first became known; set by [`Ownership::set_peers`].
@@ -105,6 +107,7 @@
     address: SocketAddr,
     domain: Arc<str>,
     cpu: u32,
+    quota: Quota,
     peers: BTreeMap<Incarnation, Peer>,
     /// The last announcement of each VM; it may arrive before the VM is among the peers.
     announcements: BTreeMap<Incarnation, Announcement>,
@@ -129,6 +132,7 @@
             address,
             domain: Arc::from(domain),
             cpu: 0,
+            quota: Quota::default(),
             peers: BTreeMap::new(),
             announcements: BTreeMap::new(),
             targets: BTreeMap::new(),
@@ -147,6 +151,12 @@
         Self { cpu, ..self }
     }
 
+    /// Sets how many targets the local VM may own.
+    #[must_use]
+    pub fn with_quota(self, quota: Quota) -> Self {
+        Self { quota, ..self }
+    }
+
     /// Replaces the peers. The announcements of a VM are kept until it is no longer among the peers.
     pub fn set_peers(&mut self, now: Millis, peers: impl IntoIterator<Item = (Incarnation, Peer)>) {
         let old = std::mem::take(&mut self.peers);
@@ -298,8 +308,7 @@
         }
         let in_domain = |target: &Target| target.domain == *domain;
         let target_count = self.targets.values().filter(|target| in_domain(target)).count();
-        let owner_count = target_count.div_ceil(TARGETS_PER_OWNER);
-        let candidates = self.candidates(now, domain, is_foreign, owner_count);
+        let candidates = self.candidates(now, domain, is_foreign, target_count);
         let mut acquired = Vec::new();
         for (id, target) in &self.targets {
             let may_acquire = target.acquirable && in_domain(target) && !self.owned.contains(id);
@@ -330,27 +339,32 @@
         })
     }
 
-    /// The VMs among which the targets of a domain are divided: at most `count` VMs of that domain, or of any
-    /// domain if `is_foreign`. Those with the most CPU come first, since an owner's scheduling takes CPU time.
+    /// The VMs among which the `target_count` targets of a domain are divided: as many VMs of that domain, or of any
+    /// domain if `is_foreign`, as their quotas require. Those with the most CPU come first, since an owner's scheduling
+    /// takes CPU time.
     fn candidates(
         &self,
         now: Millis,
         domain: &str,
         is_foreign: bool,
-        count: usize,
+        target_count: usize,
     ) -> Vec<Candidate> {
         let usable = self.alive(now).filter(|(_, peer)| !peer.draining);
         let usable = usable.filter(|(_, peer)| is_foreign || *peer.domain == *domain);
         let mut candidates = usable
-            .map(|(_, peer)| Candidate { vm: Arc::clone(&peer.vm), cpu: peer.cpu })
+            .map(|(_, peer)| Candidate {
+                vm: Arc::clone(&peer.vm),
+                cpu: peer.cpu,
+                quota: peer.quota,
+            })
             .collect::<Vec<_>>();
-        candidates.push(Candidate { vm: Arc::clone(&self.vm), cpu: self.cpu });
+        candidates.push(Candidate { vm: Arc::clone(&self.vm), cpu: self.cpu, quota: self.quota });
         candidates.sort_by_key(|candidate| {
             let weight = weight(domain, &candidate.vm);
             (Reverse(candidate.cpu), Reverse(weight), Arc::clone(&candidate.vm))
         });
         candidates.dedup_by(|one, other| one.vm == other.vm);
-        candidates.truncate(count.max(1));
+        candidates.truncate(needed(&candidates, target_count));
         candidates
     }
 
@@ -363,20 +377,33 @@
     }
 }
 
+/// How many of the first candidates have quotas for `target_count` targets together; at least 1.
+fn needed(candidates: &[Candidate], target_count: usize) -> usize {
+    let mut targets = 0;
+    for (index, candidate) in candidates.iter().enumerate() {
+        targets += candidate.quota.targets();
+        if targets >= target_count {
+            return index + 1;
+        }
+    }
+    candidates.len()
+}
+
 /// A VM that may own targets of a domain.
 #[derive(Clone, Debug)]
 struct Candidate {
     vm: Arc<str>,
     cpu: u32,
+    quota: Quota,
 }
 
 impl Candidate {
     /// The score of the VM for a target in weighted rendezvous hashing. The VM with the highest score owns the
-    /// target, so that each VM gets a share of many targets in proportion to its CPU.
+    /// target, so that each VM gets a share of many targets in proportion to its CPU and its quota.
     fn score(&self, target: &str) -> f64 {
         // Strictly between 0 and 1.
         let uniform = ((weight(target, &self.vm) >> 12) as f64 + 0.5) / (1_u64 << 52) as f64;
-        -f64::from(self.cpu.max(1)) / uniform.ln()
+        -f64::from(self.cpu.max(1)) * self.quota.share() / uniform.ln()
     }
 }
 
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -11,6 +11,7 @@
 use serde::Deserialize;
 
 use crate::clock::Millis;
+use crate::ownership::Quota;
 use crate::peer;
 use crate::schedule::Rules;
 use crate::settings::Lease;
@@ -47,6 +48,9 @@
 /// apart.
 const READY_LAG: Millis = Millis(2300);
 
+/// The bandwidth that the calls and polls of one target take under full load, in Mbit/s.
+const LINK_PER_TARGET_MBPS: f64 = 0.25;
+
 /// The least `lease_max` that allows leases to be renewed in time, since a long poll waits up to 500 ms.
 const LEASE_MAX_MIN: Millis = Millis(800);
 
@@ -78,7 +82,7 @@
     /// Addresses at which other VMs may accept links.
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
-    /// The processor time that the VM may use.
+    /// The processor time and the bandwidth that the VM may use.
     #[serde(default)]
     pub limits: Limits,
     /// The limits that the platform enforces.
@@ -103,7 +107,7 @@
     pub peers: Option<SocketAddr>,
 }
 
-/// The processor time that a VM may use: the product of both fields.
+/// The processor time and the bandwidth that a VM may use. The processor time is `cpu_share` times `cores`.
 #[derive(Clone, Copy, Debug, Default, Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub struct Limits {
@@ -113,6 +117,20 @@
     /// The speed of that core as a multiple of the usual one, not a number of cores.
     #[serde(default)]
     pub cores: f64,
+    /// The bandwidth of the VM's link in Mbit/s; 0 if the file has none.
+    #[serde(default)]
+    pub link_mbps: f64,
+}
+
+impl Limits {
+    /// How many targets a VM with this link may own.
+    fn quota(&self) -> Quota {
+        if self.link_mbps > 0.0 {
+            Quota::for_link((self.link_mbps / LINK_PER_TARGET_MBPS) as u32)
+        } else {
+            Quota::default()
+        }
+    }
 }
 
 /// The limits that the platform enforces.
@@ -244,6 +262,7 @@
             peers: self.listen.peers.unwrap_or(peers),
             callers: self.listen.callers,
             cpu: (self.limits.cpu_share * self.limits.cores * 1000.0) as u32,
+            quota: self.limits.quota(),
             seeds: self.seeds.clone(),
             prefix: PREFIX.to_owned(),
             lease: Lease { ttl: LEASE_TTL, renew: LEASE_RENEW_EVERY },
--- a/src/serve/start.rs
+++ b/src/serve/start.rs
@@ -12,6 +12,7 @@
 use crate::invariant;
 use crate::job::Incarnation;
 use crate::membership::{self, Membership, Registration};
+use crate::ownership::Quota;
 use crate::peer::{Handler, Links, Rules};
 use crate::runtime;
 use crate::settings::Settings;
@@ -92,6 +93,7 @@
         domain: settings.domain.clone(),
         peer_address,
         cpu: 0,
+        quota: Quota::default(),
     };
     let membership = Membership::new(Registration {
         vm: settings.vm.clone(),
@@ -102,6 +104,7 @@
         peer_address,
         draining: false,
         cpu: 0,
+        quota: Quota::default(),
     });
     let heartbeat = settings.heartbeat;
     let rules = Rules { interval: heartbeat.every, timeout: heartbeat.patience };
--- a/src/vm/node.rs
+++ b/src/vm/node.rs
@@ -16,7 +16,7 @@
 use crate::job::Incarnation;
 use crate::membership::Membership;
 use crate::metrics::{Counter, Metrics, Timer as Timing};
-use crate::ownership::{self, Ownership, Peer, Presence};
+use crate::ownership::{self, Ownership, Peer, Presence, Quota};
 use crate::peer::Links;
 use crate::route::Table;
 use crate::schedule::{BatchId, Engine, Event, Loss, Rules};
@@ -47,6 +47,8 @@
     pub callers: SocketAddr,
     /// The processor capacity that the VM may use, in thousandths of a core; 0 if unknown.
     pub cpu: u32,
+    /// How many targets the VM may own.
+    pub quota: Quota,
     /// Addresses of VMs to link to even if the store is out when this VM starts.
     pub seeds: Vec<SocketAddr>,
     /// The prefix of all keys that gypsumkeel writes to the store.
@@ -138,7 +140,7 @@
     ) -> Self {
         let engine = Engine::new(incarnation.0, settings.rules);
         let ownership = Ownership::new(&settings.vm, &settings.domain, settings.peers);
-        let ownership = ownership.with_cpu(settings.cpu);
+        let ownership = ownership.with_cpu(settings.cpu).with_quota(settings.quota);
         let clock = Clock::start();
         Self {
             incarnation,
@@ -340,6 +342,7 @@
                 },
                 draining: member.draining,
                 cpu: member.cpu,
+                quota: member.quota,
                 owns: None,
                 known_since: Millis::ZERO,
             };
@@ -353,6 +356,7 @@
                 presence: Presence { registered: false, linked: true, refused: false },
                 draining: false,
                 cpu: link.hello.cpu,
+                quota: link.hello.quota,
                 owns: None,
                 known_since: Millis::ZERO,
             });
--- a/src/vm/start.rs
+++ b/src/vm/start.rs
@@ -95,6 +95,7 @@
         domain: settings.domain.clone(),
         peer_address: settings.peers,
         cpu: settings.cpu,
+        quota: settings.quota,
     };
     let membership = Membership::new(Registration {
         vm: settings.vm.clone(),
@@ -105,6 +106,7 @@
         peer_address: settings.peers,
         draining: false,
         cpu: settings.cpu,
+        quota: settings.quota,
     });
     let links = Arc::new(Links::new(hello, settings.heartbeat));
     let node = Arc::new(Node::new(settings, incarnation, links, store, adapter, membership));
--- a/src/wire/frame.rs
+++ b/src/wire/frame.rs
@@ -11,6 +11,7 @@
 use crate::dispatch::{AttemptId, Delegation, DelegationId, Report, SlotMessage};
 use crate::job::{Incarnation, Key, Outcome, Spec};
 use crate::membership::{self, View};
+use crate::ownership::Quota;
 use crate::schedule::Load;
 
 /// The protocol version. A link to a VM with another version is closed.
@@ -63,6 +64,9 @@
     /// The CPU that the VM may use, in thousandths of a core; 0 if unknown.
     #[serde(default)]
     pub cpu: u32,
+    /// How many targets the VM may own.
+    #[serde(default, skip_serializing_if = "Quota::is_largest")]
+    pub quota: Quota,
 }
 
 /// A call to another VM.
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -15,6 +15,7 @@
     self, Epochs, Membership, Registration, Version, Versioned, View, keep_lease, watch_members,
     watch_targets,
 };
+use gypsumkeel::ownership::Quota;
 use gypsumkeel::settings::Lease;
 use gypsumkeel::store::Consul;
 use smol::future;
@@ -44,6 +45,7 @@
         peer_address: ([127, 0, 0, 1], 8000 + number).into(),
         draining: false,
         cpu: 0,
+        quota: Quota::default(),
     }));
     let (local, consul) = (Arc::clone(&membership), client(store));
     thread::spawn(move || {
@@ -149,6 +151,7 @@
             peer_address: ([127, 0, 0, 1], 2).into(),
             draining: false,
             cpu: 0,
+            quota: Quota::default(),
         };
         let members = Versioned { version, value: BTreeMap::from([(incarnation, member)]) };
         View { members, leaving }
--- a/tests/ownership.rs
+++ b/tests/ownership.rs
@@ -6,7 +6,7 @@
 
 use gypsumkeel::clock::Millis;
 use gypsumkeel::job::Incarnation;
-use gypsumkeel::ownership::{Ownership, Peer, Presence, Target};
+use gypsumkeel::ownership::{Ownership, Peer, Presence, Quota, Target};
 
 const ALIVE: Presence = Presence { registered: true, linked: true, refused: false };
 
@@ -28,6 +28,7 @@
         presence,
         draining: false,
         cpu: 0,
+        quota: Quota::default(),
         owns: None,
         known_since: Millis::ZERO,
     }
@@ -81,6 +82,30 @@
 }
 
 /// VMs with very different amounts of CPU, and more VMs than the targets need owners.
+/// A VM whose link carries few calls would let its targets wait, while other VMs of its domain are idle.
+#[test]
+fn vms_with_slow_links_share_the_targets_of_their_domain() {
+    let quotas = [8, 8, 8, 8];
+    let mut owned = Vec::new();
+    for (local, &quota) in quotas.iter().enumerate() {
+        let name = format!("v{local}");
+        let quota = Quota::for_link(quota);
+        let mut view = Ownership::new(&name, "a", address(&name)).with_quota(quota);
+        view.set_targets(targets("a", 24));
+        let others = (0..quotas.len()).filter(|other| *other != local);
+        let others = others.map(|other| {
+            (id(other as u128), Peer { quota, ..peer(&format!("v{other}"), "a", ALIVE) })
+        });
+        view.set_peers(Millis(0), others);
+        (0..quotas.len())
+            .for_each(|other| view.record_announcement(id(other as u128), BTreeSet::new(), false));
+        owned.push(view.to_acquire(Millis(1000)).len());
+    }
+    assert_eq!(owned.iter().sum::<usize>(), 24, "{owned:?}");
+    assert_eq!(owned.iter().filter(|&&count| count > 0).count(), 3, "{owned:?}");
+    assert!(owned.iter().all(|&count| count <= 12), "{owned:?}");
+}
+
 #[test]
 fn the_largest_vms_own_the_targets_in_proportion_to_their_cpu() {
     let cpus = [90, 500, 90, 250, 120, 500, 90, 90];
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -14,6 +14,7 @@
     Admission, Execution, Failure, Fingerprint, Job, Key, Outcome, Reason, Spec, State, Table,
     Task, Windows,
 };
+use gypsumkeel::ownership::Quota;
 use gypsumkeel::wire::{Call, Error, Frame, Hello, Reply, VERSION};
 
 fn spec(tasks: usize, repeatable: bool) -> Arc<Spec> {
@@ -260,6 +261,7 @@
         domain: "a".into(),
         peer_address: "127.0.0.1:7200".parse().unwrap(),
         cpu: 250,
+        quota: Quota::default(),
     };
     let delegation = Delegation {
         name: "x.1".into(),
