Bring quotas that are read into range

Cause: a VM's quota of targets was taken as any number from its registration, which another writer may have left: 0 made its score in the choice of owners 0, 2^32 - 1 let it count for all targets of the domain (membership, a_quota_out_of_range_is_brought_into_range: 0 instead of 1 before).

A quota is clamped where it is decoded. A frame with a quota joins the kept forms of tests/wire.rs. Links have the same quotas as before.

--- a/src/ownership/quota.rs
+++ b/src/ownership/quota.rs
@@ -6,21 +6,24 @@
 /// schedulers with few targets each; a quarter of a core suffices for this many.
 const QUOTA_MAX: u32 = 24;
 
-/// The most targets that a VM owns if its domain has enough VMs; at least 1.
+/// The most targets that a VM owns if its domain has enough VMs: from 1 to [`QUOTA_MAX`], whatever is read.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
-#[serde(transparent)]
+#[serde(from = "u32", into = "u32")]
 pub struct Quota(u32);
 
-impl Quota {
-    /// The quota of a VM whose link carries the calls to `targets` targets under full load.
-    pub const fn for_link(targets: u32) -> Self {
-        match targets {
-            0 => Self(1),
-            targets if targets < QUOTA_MAX => Self(targets),
-            _ => Self(QUOTA_MAX),
-        }
+impl From<u32> for Quota {
+    fn from(targets: u32) -> Self {
+        Self(targets.clamp(1, QUOTA_MAX))
+    }
+}
+
+impl From<Quota> for u32 {
+    fn from(quota: Quota) -> Self {
+        quota.0
     }
+}
 
+impl Quota {
     /// The number of targets.
     pub const fn targets(self) -> usize {
         self.0 as usize
@@ -31,7 +34,7 @@
         f64::from(self.0) / f64::from(QUOTA_MAX)
     }
 
-    /// Whether this is the largest quota, which is not written, as older releases don't know others.
+    /// Whether this is the largest quota. It is left out where quotas are written, as older releases know none.
     pub fn is_largest(&self) -> bool {
         *self == Self::default()
     }
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -48,7 +48,7 @@
 /// apart.
 const READY_LAG: Millis = Millis(2300);
 
-/// The bandwidth that the calls and polls of one target take under full load, in Mbit/s.
+/// The bandwidth that is allowed for the calls and polls of one target, in Mbit/s.
 const LINK_PER_TARGET_MBPS: f64 = 0.25;
 
 /// The least `lease_max` that allows leases to be renewed in time, since a long poll waits up to 500 ms.
@@ -126,7 +126,7 @@
     /// How many targets a VM with this link may own.
     fn quota(&self) -> Quota {
         if self.link_mbps > 0.0 {
-            Quota::for_link((self.link_mbps / LINK_PER_TARGET_MBPS) as u32)
+            Quota::from((self.link_mbps / LINK_PER_TARGET_MBPS) as u32)
         } else {
             Quota::default()
         }
--- a/src/schedule/speed.rs
+++ b/src/schedule/speed.rs
@@ -18,7 +18,7 @@
 const QUEUE_SAMPLES_MIN: u32 = 20;
 
 /// The longest expected duration, whatever a caller declares, so that sums of work can't overflow.
-const EXPECTED_MAX: u64 = u32::MAX as u64;
+const EXPECTED_MAX: Millis = Millis(u32::MAX as u64);
 
 /// A running mean of logarithms.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -55,7 +55,7 @@
         let declared = log(declared);
         let known = self.queues.get(queue).filter(|mean| mean.samples >= QUEUE_SAMPLES_MIN);
         let value = known.map_or(declared, |mean| f64::midpoint(mean.value, declared));
-        Millis((value.exp().ceil() as u64).clamp(1, EXPECTED_MAX))
+        Millis(value.exp().ceil() as u64).clamp(Millis(1), EXPECTED_MAX)
     }
 
     /// Adds the duration of a task that is done to the means of its target, of the target's kind and of its queue.
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -172,6 +172,17 @@
 }
 
 /// VMs of other versions read this from the store and from their peers.
+/// Another writer may have left the registration.
+#[test]
+fn a_quota_out_of_range_is_brought_into_range() {
+    let read = |text: &str| serde_json::from_str::<Quota>(text).map(Quota::targets);
+    assert_eq!(read("0").unwrap(), 1);
+    assert_eq!(read("7").unwrap(), 7);
+    assert_eq!(read("4294967295").unwrap(), Quota::default().targets());
+    assert!(read("4294967296").is_err(), "the registration is unreadable");
+    assert_eq!(serde_json::to_string(&Quota::from(7)).unwrap(), "7");
+}
+
 #[test]
 fn a_registration_keeps_its_stored_form() {
     let text = r#"{"vm":"vm-1","domain":"a","region":"south","incarnation":"AAAAAAAAAAAAAAAAAAAAAQ","callers":"127.0.0.1:7001","peers":"127.0.0.1:8001","draining":true,"cpu":1500}"#;
--- a/tests/ownership.rs
+++ b/tests/ownership.rs
@@ -89,7 +89,7 @@
     let mut owned = Vec::new();
     for (local, &quota) in quotas.iter().enumerate() {
         let name = format!("v{local}");
-        let quota = Quota::for_link(quota);
+        let quota = Quota::from(quota);
         let mut view = Ownership::new(&name, "a", address(&name)).with_quota(quota);
         view.set_targets(targets("a", 24));
         let others = (0..quotas.len()).filter(|other| *other != local);
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -13,6 +13,10 @@
             "version": 1, "vm": "lantern-a-1", "incarnation": INCARNATION, "domain": "a",
             "peers": { "V4": [[127, 0, 0, 1], 7200] }, "cpu": 250,
         } }),
+        json!({ "Hello": {
+            "version": 1, "vm": "lantern-a-2", "incarnation": INCARNATION, "domain": "a",
+            "peers": { "V4": [[127, 0, 0, 1], 7200] }, "cpu": 250, "quota": 8,
+        } }),
         json!("Beat"),
     ];
     frames.extend(calls().into_iter().map(|call| json!({ "Call": { "id": 3, "call": call } })));
