Abandon what was forwarded when a VM wakes from a standstill

An entry VM that stood still for over 600 ms finds frames of other VMs in its sockets. It handled them before it met the end of the link, and started batches that the senders, having given the link up, ran elsewhere.

Evidence: at debug level the same task is started at 34.531 s by the sender's VM and at 35.005 s by the one that woke, which logs batches-abandoned for the link in the same moment and stops the task 4 ms later. Ruled out: the sender's wait of 1,150 ms, and late calls.

Change: a VM that has handled nothing for longer than the link timeout abandons all forwarded batches and closes the accepted links before it handles anything else; the clock also counts suspended time. Replies to such batches are withheld, so that the senders wait for the clean-up as after any lost link. New: event=stood-still, metric standstills.

Why it works: a sender gives the link up no earlier than one heartbeat less than 600 ms after the freeze began, and runs its batches again 1,150 ms later; what wakes before may be stopped in time, what wakes later starts nothing.

Test: tests/recovery.rs, jobs_forwarded_to_a_frozen_vm_are_not_started_when_it_wakes.

--- a/src/clock.rs
+++ b/src/clock.rs
@@ -1,8 +1,11 @@
-//! Time in whole milliseconds: one type for durations and instants, and a monotonic clock.
+//! Time in whole milliseconds: one type for durations and instants, and a monotonic clock that also counts the time for
+//! which the machine was suspended.
 
 use std::fmt;
 use std::ops::{Add, Mul, Sub};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use rustix::time::{ClockId, clock_gettime};
 
 use serde::{Deserialize, Serialize};
 
@@ -70,20 +73,26 @@
     }
 }
 
-/// A monotonic clock that starts at zero.
+/// A monotonic clock that starts at zero. It goes on while the machine is suspended, as others go on meanwhile.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
-    origin: Instant,
+    /// The time from the boot of the machine to the start of the clock.
+    origin: Duration,
 }
 
 impl Clock {
     /// Starts a clock. Its time is now [`Millis::ZERO`].
     pub fn start() -> Self {
-        Self { origin: Instant::now() }
+        Self { origin: since_boot() }
     }
 
     /// Returns the time since the clock was started.
     pub fn now(&self) -> Millis {
-        self.origin.elapsed().into()
+        since_boot().saturating_sub(self.origin).into()
     }
 }
+
+/// The time since the boot of the machine, suspended time included.
+fn since_boot() -> Duration {
+    clock_gettime(ClockId::Boottime).try_into().unwrap_or_default()
+}
--- a/src/metrics/names.rs
+++ b/src/metrics/names.rs
@@ -94,6 +94,8 @@
         BatchesRefused = "batches.refused",
         /// Batches whose caller disconnected before their end.
         BatchesAbandoned = "batches.abandoned",
+        /// Times for which this VM stood still so long that the other VMs gave their links to it up.
+        Standstills = "standstills",
         /// Start calls sent to leased targets.
         LeasedStarts = "leased.starts",
         /// Stop calls sent to leased targets.
--- a/src/peer/links.rs
+++ b/src/peer/links.rs
@@ -7,7 +7,7 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError, Weak};
 
 use arc_swap::ArcSwap;
@@ -59,6 +59,10 @@
         call: Call,
     ) -> Pin<Box<dyn Future<Output = Reply> + Send>>;
 
+    /// Called when a frame has arrived, before it is handled. The VM may have stood still since it was sent, and may
+    /// answer with [`Links::close_accepted`].
+    fn frame_arrived(self: Arc<Self>) {}
+
     /// Handles a notification from `from`.
     fn notify(self: Arc<Self>, from: Incarnation, notification: Notification);
 
@@ -88,6 +92,9 @@
     /// The addresses that are kept linked. The event of an address ends its pause between two dials.
     dialled: Mutex<HashMap<SocketAddr, Arc<Event>>>,
     up_changed: Event,
+    /// How often the accepted links have been closed. A link ends when this has changed since its start.
+    accepted_epoch: AtomicU64,
+    accepted_closed: Event,
     volume: Arc<Volume>,
     /// The number of replies not yet sent, of each accepted link.
     unsent_replies: Mutex<Vec<Weak<AtomicUsize>>>,
@@ -102,6 +109,8 @@
             up: ArcSwap::default(),
             dialled: Mutex::default(),
             up_changed: Event::new(),
+            accepted_epoch: AtomicU64::new(0),
+            accepted_closed: Event::new(),
             volume: Arc::default(),
             unsent_replies: Mutex::default(),
         }
@@ -165,6 +174,27 @@
         runtime::spawn(async move { links.keep_linked(address, &redial, &handler).await }).detach();
     }
 
+    /// Closes all accepted links. Frames that were not handled yet are dropped.
+    pub fn close_accepted(&self) {
+        self.accepted_epoch.fetch_add(1, Ordering::Relaxed);
+        self.accepted_closed.notify(usize::MAX);
+    }
+
+    /// Fails once the accepted links have been closed since `epoch`.
+    async fn wait_until_closed(&self, epoch: u64) -> Result<(), LinkError> {
+        let closed = self.accepted_closed.listen();
+        self.check_open(epoch)?;
+        closed.await;
+        self.check_open(epoch)
+    }
+
+    fn check_open(&self, epoch: u64) -> Result<(), LinkError> {
+        if self.accepted_epoch.load(Ordering::Relaxed) == epoch {
+            return Ok(());
+        }
+        Err(LinkError::new("this VM stood still, and its peers may have given the link up"))
+    }
+
     /// Includes the replies of a newly accepted link in [`Self::unsent_replies`].
     fn track_replies(&self, unsent: &Arc<AtomicUsize>) {
         let mut links = self.unsent_replies.lock().unwrap_or_else(PoisonError::into_inner);
@@ -202,6 +232,7 @@
         handler: &Arc<dyn Handler>,
     ) -> Result<(), LinkError> {
         drop(stream.set_nodelay(true));
+        let epoch = self.accepted_epoch.load(Ordering::Relaxed);
         let (mut sink, mut source) =
             within(self.rules.timeout, socket::accept(stream, Arc::clone(&self.volume))).await?;
         sink.send(&Frame::Hello(self.local.clone())).await?;
@@ -214,10 +245,13 @@
         let incoming = async {
             loop {
                 let frame = within(self.rules.timeout, source.next()).await?;
+                Arc::clone(handler).frame_arrived();
+                self.check_open(epoch)?;
                 handle_frame(&hello, frame, &queue, &unsent, handler)?;
             }
         };
-        let result = incoming.or(sink.send_queued(&frames, &unsent)).await;
+        let closed = self.wait_until_closed(epoch);
+        let result = closed.or(incoming).or(sink.send_queued(&frames, &unsent)).await;
         handler.peer_disconnected(hello.incarnation);
         result
     }
--- a/src/vm/core.rs
+++ b/src/vm/core.rs
@@ -25,6 +25,11 @@
     waiters: HashMap<BatchId, Waiter>,
     /// Batches that other VMs forwarded to this one, by the VM and its number for the batch.
     forwarded: HashMap<(Incarnation, u64), BatchId>,
+    /// The waiters for batches that were abandoned after a standstill. A VM that still waits must learn by the end of
+    /// its link that the batch was cut, not by a reply.
+    cut: HashMap<Incarnation, Vec<Waiter>>,
+    /// When the core last handled anything.
+    active_at: Millis,
     next_batch: BatchId,
     clock: Clock,
 }
@@ -59,6 +64,16 @@
     pub acquired: Vec<Arc<str>>,
     /// The targets that are no longer owned, and why.
     pub lost: Vec<(Arc<str>, Loss)>,
+    /// The standstill that has just ended, if any.
+    pub standstill: Option<Standstill>,
+}
+
+/// A time for which the VM handled nothing, as its machine was frozen or suspended.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Standstill {
+    pub duration: Millis,
+    /// The number of forwarded batches that were abandoned at its end.
+    pub abandoned: usize,
 }
 
 impl Core {
@@ -70,11 +85,37 @@
             round: 0,
             waiters: HashMap::new(),
             forwarded: HashMap::new(),
+            cut: HashMap::new(),
+            active_at: clock.now(),
             next_batch: 1,
             clock,
         }
     }
 
+    /// Whether the VM has handled nothing for longer than `timeout`. The regular ticks are far more frequent.
+    pub fn has_stood_still(&self, now: Millis, timeout: Millis) -> bool {
+        now - self.active_at > timeout
+    }
+
+    /// Records that the VM is active. If it was not for longer than `timeout`, the time after which its peers give a link
+    /// up, all that they forwarded is abandoned before anything else is done: they run it elsewhere by now or soon.
+    pub fn record_active(&mut self, now: Millis, timeout: Millis, effects: &mut Effects) {
+        let has_stood_still = self.has_stood_still(now, timeout);
+        let duration = now - self.active_at;
+        self.active_at = now;
+        if !has_stood_still {
+            return;
+        }
+        let forwarded = std::mem::take(&mut self.forwarded);
+        effects.standstill = Some(Standstill { duration, abandoned: forwarded.len() });
+        for ((from, _), batch) in forwarded {
+            if let Some(waiter) = self.waiters.remove(&batch) {
+                self.cut.entry(from).or_default().push(waiter);
+            }
+            self.handle(now, Event::Abandon { batch }, effects);
+        }
+    }
+
     /// Passes an event to the scheduler and processes the actions that follow from it.
     pub fn handle(&mut self, now: Millis, event: Event, effects: &mut Effects) {
         let mut actions = Vec::new();
@@ -144,8 +185,9 @@
         self.forwarded.remove(&(from, number))
     }
 
-    /// Removes and returns all batches that another VM forwarded.
+    /// Removes and returns all batches that another VM forwarded, as the link to it has ended.
     pub fn take_forwarded_by(&mut self, from: Incarnation) -> Vec<BatchId> {
+        self.cut.remove(&from);
         let taken = self.forwarded.extract_if(|(vm, _), _| *vm == from);
         taken.map(|(_, batch)| batch).collect()
     }
--- a/src/vm/node.rs
+++ b/src/vm/node.rs
@@ -24,7 +24,7 @@
 use crate::store::Store;
 
 use super::adapter::{Adapter, Client, Site};
-use super::core::{Core, Effects};
+use super::core::{Core, Effects, Standstill};
 
 /// The longest time between two ticks.
 const TICK_MAX: Millis = Millis(250);
@@ -221,6 +221,15 @@
         self.with_core(|core, now, effects| core.handle(now, event, effects));
     }
 
+    /// Detects a standstill of this VM before anything that has waited meanwhile is acted on.
+    pub(super) fn notice_standstill(self: &Arc<Self>) {
+        let timeout = self.settings.heartbeat.timeout;
+        let has_stood_still = self.lock().has_stood_still(self.clock.now(), timeout);
+        if has_stood_still {
+            self.with_core(|_, _, _| ());
+        }
+    }
+
     /// Changes the core under its lock, then carries out the effects without it.
     pub(super) fn with_core<T>(
         self: &Arc<Self>,
@@ -230,6 +239,7 @@
         let result = {
             let mut core = self.lock();
             let now = self.clock.now();
+            core.record_active(now, self.settings.heartbeat.timeout, &mut effects);
             let result = change(&mut core, now, &mut effects);
             let wakeup = core.engine.next_wakeup(now);
             if wakeup.is_some_and(|wakeup| wakeup.0 < self.next_tick.load(Ordering::Relaxed)) {
@@ -243,6 +253,10 @@
 
     /// Counts and logs changes of ownership, makes the calls to targets, and announces the owned targets.
     fn execute(self: &Arc<Self>, effects: Effects) {
+        if let Some(Standstill { duration, abandoned }) = effects.standstill {
+            self.metrics.count(Counter::Standstills);
+            event!(warn, "stood-still", ms = duration.0, batches = abandoned);
+        }
         for target in &effects.acquired {
             self.metrics.count(Counter::TargetsAcquired);
             event!(info, "target-owned", target = target);
@@ -259,6 +273,9 @@
         for call in effects.calls {
             self.call(call);
         }
+        if effects.standstill.is_some() {
+            self.links.close_accepted();
+        }
         if effects.ownership_changed {
             self.owners_changed.notify(usize::MAX);
             self.announce_ownership();
--- a/src/vm/peers.rs
+++ b/src/vm/peers.rs
@@ -44,6 +44,10 @@
         }
     }
 
+    fn frame_arrived(self: Arc<Self>) {
+        self.notice_standstill();
+    }
+
     fn notify(self: Arc<Self>, from: Incarnation, notification: Notification) {
         match notification {
             Notification::Abandon { id } => self.with_core(|core, now, effects| {
--- a/tests/recovery.rs
+++ b/tests/recovery.rs
@@ -111,6 +111,39 @@
     }
 }
 
+/// Guards against an entry VM that wakes from a freeze and starts the jobs that were forwarded to it meanwhile, although
+/// the VMs that forwarded them run them elsewhere by then.
+#[test]
+fn jobs_forwarded_to_a_frozen_vm_are_not_started_when_it_wakes() {
+    let env = Env::start(1, 8);
+    // The data is near the workers of VM 1.
+    let body = json!({ "spec": "6800 900", "bestEffort": true,
+        "steps": [{ "count": 2, "cpu": 6800, "memMb": 64, "estMs": 900, "affinity": "rack-b" }] });
+    let is_over = AtomicBool::new(false);
+    thread::scope(|scope| {
+        let _stop = StopOnDrop(&is_over);
+        let (env, body, is_over) = (&env, &body, &is_over);
+        scope.spawn(move || {
+            for id in 300.. {
+                if is_over.load(Ordering::Relaxed) {
+                    break;
+                }
+                scope.spawn(move || env.post(0, id, body, Millis(10_000)));
+                thread::sleep(Duration::from_millis(150));
+            }
+        });
+        for _ in 0..2 {
+            thread::sleep(Duration::from_secs(2));
+            env.vms[1].signal(Signal::STOP);
+            // The jobs run elsewhere from 1.75 s on, and the workers have new owners after 2.7 s.
+            thread::sleep(Duration::from_millis(2200));
+            env.vms[1].signal(Signal::CONT);
+        }
+        thread::sleep(Duration::from_secs(1));
+    });
+    env.check();
+}
+
 #[test]
 fn a_job_resubmitted_after_its_connection_broke_never_runs_twice_at_a_time() {
     let env = Env::start(2, 2);
