Start no job whose caller has left before it was read

A caller that gives a frozen or busy VM up submits its job again elsewhere after 1.3 s. What it had sent lay unread in the first VM, which read the request before the end of the connection, and started the job until it noticed: a short run beside the other one. The same cause as for forwarded batches: what waited is acted on before anything shows its age.

Change: the VM looks at the connection again once the request has been read whole, and for 100 ms after a standstill nothing is started, so that ends of connections are handled before batches that wait in the queue; those past their deadline end at once.

--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -68,6 +68,20 @@
     }
 }
 
+/// The connection that a request came on, among the request's extensions.
+#[derive(Clone, Debug)]
+pub struct Caller(TcpStream);
+
+impl Caller {
+    /// Whether the caller has closed or reset the connection, once the request has been read whole. Nobody waits for the
+    /// response then.
+    pub async fn has_left(&self) -> bool {
+        let mut byte = [0];
+        let peek = self.0.peek(&mut byte);
+        matches!(future::poll_once(peek).await, Some(Ok(0) | Err(_)))
+    }
+}
+
 /// Responds to requests.
 pub trait Handler: fmt::Debug + Send + Sync {
     /// Responds to one request.
@@ -127,10 +141,12 @@
         let request_started = Arc::clone(&request_started);
         let handler = Arc::clone(&handler);
         let traffic = Arc::clone(traffic);
-        move |request| {
+        let caller = Caller(stream.clone());
+        move |mut request: Request| {
             has_request.store(true, Ordering::Relaxed);
             request_started.notify(1);
             traffic.busy.fetch_add(1, Ordering::Relaxed);
+            request.ext_mut().insert(caller.clone());
             let response = Arc::clone(&handler).answer(request);
             let has_failed = Arc::clone(&has_failed);
             let must_close = Arc::clone(&must_close);
--- a/src/platform/front.rs
+++ b/src/platform/front.rs
@@ -10,7 +10,7 @@
 use crate::clock::Millis;
 use crate::event;
 use crate::http::read_body;
-use crate::http::server::Handler;
+use crate::http::server::{Caller, Handler};
 use crate::route::{Route, Table};
 use crate::vm::{Node, Wait};
 
@@ -106,6 +106,10 @@
             return state(StatusCode::BadRequest, "invalid");
         }
     };
+    if has_left(request).await {
+        event!(info, "caller-left", job = id);
+        return state(StatusCode::RequestTimeout, "refused");
+    }
     let outcome = node.submit(spec, Wait { received_at, deadline: received_at + timeout }).await;
     let took = node.now() - received_at;
     event!(
@@ -121,6 +125,15 @@
     respond(id, &outcome)
 }
 
+/// Whether the caller has closed its connection. It may have submitted the job elsewhere by now, so that nothing of it may
+/// start here.
+async fn has_left(request: &Request) -> bool {
+    match request.ext().get::<Caller>() {
+        Some(caller) => caller.has_left().await,
+        None => false,
+    }
+}
+
 /// The time that the caller waits for the outcome.
 fn request_timeout(route: &Route, request: &Request) -> Millis {
     let requested =
--- a/src/schedule/engine.rs
+++ b/src/schedule/engine.rs
@@ -24,6 +24,9 @@
 /// How much slower than this VM's clock a target's clock may run, in percent.
 const CLOCK_LOSS_PERCENT: u64 = 2;
 
+/// How long nothing is started after a standstill, so that connections that were closed meanwhile are noticed first.
+const RESUME_HOLD: Millis = Millis(100);
+
 /// The margin after which a lease has surely lapsed, for the target's own rounding and timers.
 const LAPSE_SLACK: Millis = Millis(60);
 
@@ -47,6 +50,8 @@
     /// The event sequence, which tells what was sent before what.
     pub(super) sequence: u64,
     pub(super) draining: bool,
+    /// Until when no task is started, since this VM has stood still.
+    held_until: Millis,
     pub(super) leases: Leases,
     /// Whether anything has changed that may let a waiting task start.
     pub(super) needs_placement: bool,
@@ -70,6 +75,7 @@
             next_call: 1,
             sequence: 0,
             draining: false,
+            held_until: Millis::ZERO,
             leases: Leases::default(),
             needs_placement: false,
         }
@@ -91,10 +97,11 @@
             Event::Reply { call, reply } => self.handle_reply(now, call, reply, actions),
             Event::Overdue { call } => self.handle_overdue(now, call, actions),
             Event::Rules(rules) => self.rules = rules,
+            Event::Resume => self.resume(now, actions),
             Event::Drain => self.drain(now, actions),
             Event::Tick => self.tick(now, actions),
         }
-        if self.needs_placement {
+        if self.needs_placement && now >= self.held_until {
             self.needs_placement = false;
             self.place(now, actions);
         }
@@ -195,6 +202,12 @@
         }
     }
 
+    /// Holds starts back for a moment, and ends the batches whose callers have stopped waiting.
+    fn resume(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        self.held_until = now + RESUME_HOLD;
+        self.expire(now, actions);
+    }
+
     fn drain(&mut self, now: Millis, actions: &mut Vec<Action>) {
         self.draining = true;
         let waiting = self.batches.iter().filter(|(_, batch)| !batch.started);
--- a/src/schedule/event.rs
+++ b/src/schedule/event.rs
@@ -97,6 +97,8 @@
     },
     /// The platform has changed its times and factors.
     Rules(Rules),
+    /// This VM has stood still, so callers and other VMs may have given their batches up unnoticed.
+    Resume,
     /// This VM is draining: unstarted batches move to other VMs, and targets are released as they become idle.
     Drain,
     /// Time has passed.
--- a/src/vm/core.rs
+++ b/src/vm/core.rs
@@ -106,6 +106,7 @@
         if !has_stood_still {
             return;
         }
+        self.handle(now, Event::Resume, effects);
         let forwarded = std::mem::take(&mut self.forwarded);
         effects.standstill = Some(Standstill { duration, abandoned: forwarded.len() });
         for ((from, _), batch) in forwarded {
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -272,6 +272,24 @@
     env.check();
 }
 
+/// Guards against a busy VM that reads a job whose caller has left already, and starts it before it notices that.
+#[test]
+fn a_job_whose_caller_left_before_it_is_read_starts_no_task() {
+    let env = Env::start(1, 1);
+    let body = json!({ "spec": "7000 50", "bestEffort": true,
+        "steps": [{ "count": 1, "cpu": 7000, "memMb": 64, "estMs": 50 }] });
+    let starts = || *env.ledger.starts.lock().unwrap();
+    let before = starts();
+    for id in 0..5 {
+        env.vms[0].signal(Signal::STOP);
+        assert_eq!(env.post(0, id, &body, Millis(20)), None);
+        env.vms[0].signal(Signal::CONT);
+    }
+    assert_eq!(env.submit(0, 100, 1, 50), Some(done()));
+    assert_eq!(starts(), before + 1);
+    env.check();
+}
+
 #[test]
 fn a_crashed_or_unresponsive_worker_only_delays_jobs() {
     let env = Env::start(1, 2);
--- a/tests/schedule.rs
+++ b/tests/schedule.rs
@@ -466,6 +466,30 @@
     assert_eq!(model.lost[0].2, Loss::Released);
 }
 
+/// Guards against a VM that wakes from a freeze and starts waiting batches before it sees that their callers have left.
+#[test]
+fn after_a_standstill_nothing_starts_until_callers_that_left_are_noticed() {
+    let mut model = world(1);
+    model.submit(100, 0, 1, spec("j1", 2, 7, 500), 500, 10_000);
+    model.submit(110, 0, 2, spec("j2", 2, 7, 500), 500, 10_000);
+    model.submit(120, 0, 3, spec("j3", 2, 7, 500), 500, 1000);
+    model.run(200);
+    model.frozen[0] = true;
+    model.run(1500);
+    let starts = model.targets[0].starts;
+    model.event(1500, 0, Event::Resume);
+    model.thaw(0);
+    model.run(1520);
+    assert!(matches!(model.outcome(3), Some(Outcome::Refused { .. })), "{:?}", model.ends);
+    model.event(1540, 0, Event::Abandon { batch: 2 });
+    model.submit(1560, 0, 4, spec("j4", 2, 7, 500), 500, 10_000);
+    model.run(1590);
+    assert_eq!(model.targets[0].starts, starts, "a task started too early");
+    model.run(4000);
+    assert_eq!(model.outcome(2), None);
+    assert_eq!(model.outcome(4), Some(&Outcome::Done));
+}
+
 #[test]
 fn tasks_run_on_the_rack_of_their_data() {
     let listings = vec![listing("t0", 16, "r0"), listing("t1", 16, "r1")];
