Keep what a target has started since it restarted

A worker that crashes and is back at once under its id goes on getting starts. Its owner learned of the new process from a poll up to 350 ms later, took all its attempts there as gone with the former process, those of the new one included, and started them again elsewhere.

Change: a restart drops no attempt; the reports of the new process settle each. A clock that has gone back by over a second in any reply shows a restart: nothing more is started or acknowledged there until a poll has shown the new process. Reports of a former process are left out, and a start time that goes back is a restart as well.

Why it works: a process lists only what was started in it, so what it lists runs there, whatever the owner knew of the restart by then.

--- a/src/schedule/call.rs
+++ b/src/schedule/call.rs
@@ -155,7 +155,7 @@
         let target = &mut self.targets[index];
         match reply {
             Reply::Executed { clock } => {
-                target.record_clock(*clock, now);
+                target.record_clock(*clock, now, sequence);
                 if let Some(position) = target.find(name, number) {
                     let attempt = &mut target.attempts[position];
                     self.start_latency.record(now - attempt.sent_at);
@@ -168,7 +168,7 @@
             }
             Reply::Denied { denial, clock } => {
                 if let Some(clock) = clock {
-                    target.record_clock(*clock, now);
+                    target.record_clock(*clock, now, sequence);
                 }
                 self.handle_denied_start(now, index, (name, number), fence, *denial, actions);
             }
@@ -313,7 +313,7 @@
         let position = target.find(name, number);
         match reply {
             Reply::Executed { clock } => {
-                target.record_clock(*clock, now);
+                target.record_clock(*clock, now, sequence);
                 if let Some(position) = position {
                     target.attempts[position].state = State::Stopped;
                     target.attempts[position].confirmed_seq = sequence;
--- a/src/schedule/listing.rs
+++ b/src/schedule/listing.rs
@@ -43,7 +43,7 @@
     ) {
         let target = &mut self.targets[index];
         target.unlisted_since = None;
-        let may_have_restarted = listing.incarnation > target.incarnation;
+        let may_have_restarted = listing.incarnation != target.incarnation;
         target.listing = listing;
         // Another writer may have left the entry, so only the target's own report shows that its attempts are gone.
         if may_have_restarted && target.phase != Phase::Unowned {
@@ -53,7 +53,10 @@
         }
     }
 
-    /// Resets what is known of a target whose process was restarted: no earlier attempt runs any longer.
+    /// Resets what is known of a target whose process was restarted.
+    ///
+    /// The owner learns of a restart late, and may have started attempts in the new process by then. So the attempts stay,
+    /// and this report and the next show which of them run: a process knows nothing of those that ran before it.
     pub(super) fn handle_restart(
         &mut self,
         now: Millis,
@@ -63,6 +66,7 @@
     ) {
         let target = &mut self.targets[index];
         target.incarnation = incarnation;
+        target.incarnation_seq = self.sequence;
         target.acknowledged = 0;
         target.long_poll = None;
         target.clock = None;
@@ -71,7 +75,7 @@
         target.speed = Mean::default();
         target.slowness = self.speeds.slowness(&target.speed, target.kind());
         target.unsynced = true;
-        self.drop_attempts(now, index);
+        target.next_poll_at = now;
         self.reconcile(now, index, actions);
     }
 
--- a/src/schedule/poll.rs
+++ b/src/schedule/poll.rs
@@ -49,6 +49,17 @@
     pub waits: bool,
 }
 
+/// The process of a target that a report is from.
+#[derive(Clone, Copy, Debug)]
+enum Process {
+    /// The one that is known.
+    Known,
+    /// One that has started since, with its incarnation.
+    New(u64),
+    /// One that has ended; the report was overtaken by that of its successor.
+    Former,
+}
+
 impl Engine {
     /// Sends the polls that are due for a target.
     pub(super) fn reconcile(&mut self, now: Millis, index: usize, actions: &mut Vec<Action>) {
@@ -133,7 +144,7 @@
             target: Arc::clone(&target.listing.id),
             fence,
             lease_until,
-            acknowledged: target.acknowledged,
+            acknowledged: target.to_acknowledge(),
             wait,
         });
         call
@@ -193,11 +204,14 @@
         snapshot: &Snapshot,
         actions: &mut Vec<Action>,
     ) {
-        if let Some(incarnation) = self.reported_restart(index, snapshot) {
-            self.handle_restart(now, index, incarnation, actions);
+        match self.process_of(index, poll, snapshot) {
+            Process::Known => {}
+            Process::New(incarnation) => self.handle_restart(now, index, incarnation, actions),
+            Process::Former => return,
         }
         let target = &mut self.targets[index];
-        target.record_clock(snapshot.clock, now);
+        target.doubted_seq.take_if(|doubted_seq| poll.sent_seq >= *doubted_seq);
+        target.record_clock(snapshot.clock, now, poll.sent_seq);
         target.last_snapshot_at = now;
         if poll.fence == target.fence {
             target.unsynced = false;
@@ -220,16 +234,24 @@
         self.stop_strays(index, &snapshot.running, actions);
     }
 
-    /// The incarnation that a target reports, if it is not the known one.
+    /// Which process of a target a report is from.
     ///
     /// Until the target is owned, the known incarnation is that of its entry, which another writer may have left, so
-    /// the first report counts in any case. Later reports only count if they are newer, as responses may overtake each
-    /// other. A target that does not report its incarnation has that of its entry.
-    fn reported_restart(&self, index: usize, snapshot: &Snapshot) -> Option<u64> {
+    /// the first report counts in any case. Of later reports, those of polls that were sent after the known incarnation had
+    /// been reported are newer, even if their incarnation is lower, as the time of day may have been set back. Responses
+    /// may overtake each other, so others are newer only if their incarnation is higher. A target that does not report its
+    /// incarnation has that of its entry.
+    fn process_of(&self, index: usize, poll: Poll, snapshot: &Snapshot) -> Process {
         let target = &self.targets[index];
         let reported = snapshot.incarnation.unwrap_or(target.listing.incarnation);
-        let is_first = target.phase == Phase::Acquiring && reported != target.incarnation;
-        (is_first || reported > target.incarnation).then_some(reported)
+        let is_later = target.phase == Phase::Acquiring || poll.sent_seq >= target.incarnation_seq;
+        if reported == target.incarnation {
+            Process::Known
+        } else if is_later || reported > target.incarnation {
+            Process::New(reported)
+        } else {
+            Process::Former
+        }
     }
 
     /// Confirms the attempts that a target lists. Drops those that it does not list if they have ended, or if their
--- a/src/schedule/target.rs
+++ b/src/schedule/target.rs
@@ -23,6 +23,10 @@
 /// The ejection time of a target that can't be reached or reports that it is unhealthy.
 const UNHEALTHY_EJECTION: Millis = Millis(300);
 
+/// How far a target's clock must be behind an earlier reading to show that its process, and with it the clock, has started
+/// anew. Responses overtake each other by less.
+const CLOCK_RESET_MIN: Millis = Millis(1000);
+
 /// Whether this VM owns a target.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Phase {
@@ -42,6 +46,11 @@
     pub unlisted_since: Option<Millis>,
     /// The latest known incarnation, which may be ahead of the listing's.
     pub incarnation: u64,
+    /// The event sequence when the target itself reported the incarnation.
+    pub incarnation_seq: u64,
+    /// The event sequence when something last suggested that the target has restarted; `None` once a later poll has shown
+    /// its incarnation.
+    pub doubted_seq: Option<u64>,
     pub phase: Phase,
     pub fence: Fence,
     pub clock: Option<Reading>,
@@ -128,6 +137,8 @@
     pub fn new(listing: Listing, fence: Fence) -> Self {
         Self {
             incarnation: listing.incarnation,
+            incarnation_seq: 0,
+            doubted_seq: None,
             listing,
             unlisted_since: None,
             phase: Phase::Unowned,
@@ -182,11 +193,24 @@
         self.clock.map(|reading| reading.clock + (now - reading.read_at))
     }
 
-    /// Records a reading of the target's clock.
-    pub fn record_clock(&mut self, clock: Millis, now: Millis) {
+    /// Records a reading of the target's clock, at an event sequence. If the clock has started anew, so has the target's
+    /// process, and nothing is started there until a poll has shown what it runs.
+    pub fn record_clock(&mut self, clock: Millis, now: Millis, sequence: u64) {
+        let is_reset = self.clock.is_some_and(|reading| clock + CLOCK_RESET_MIN < reading.clock);
+        if is_reset {
+            self.doubted_seq = Some(sequence);
+            self.unsynced = true;
+            self.next_poll_at = now;
+        }
         self.clock = Some(Reading { clock, read_at: now });
     }
 
+    /// The number of the last completion to acknowledge. While the target may have restarted it is none, as a new process
+    /// numbers its completions anew and would forget those up to that number.
+    pub fn to_acknowledge(&self) -> u64 {
+        if self.doubted_seq.is_some() { 0 } else { self.acknowledged }
+    }
+
     /// Forgets a poll, so that another can be sent in its place.
     pub fn forget_poll(&mut self, call: CallId) {
         self.long_poll.take_if(|poll| *poll == call);
