--- a/tests/platform/worker.rs
+++ b/tests/platform/worker.rs
@@ -18,6 +18,9 @@
 /// The interval at which a worker checks for tasks that have ended or whose lease has lapsed.
 const CHECK_EVERY: Duration = Duration::from_millis(2);
 
+/// How long a worker takes to stop an attempt, in milliseconds; the platform allows 50.
+const STOP_MS: u64 = 30;
+
 /// The longest lease that a worker grants, in milliseconds.
 const LEASE_MAX_MS: u64 = 1000;
 
@@ -81,6 +84,8 @@
     cpu: u64,
     started_at: u64,
     ends_at: u64,
+    /// When it ends because of a stop.
+    stops_at: Option<u64>,
 }
 
 impl Worker {
@@ -210,6 +215,8 @@
             if clock >= attempt.ends_at && attempt.ends_at <= self.lease {
                 self.ledger.done.lock().unwrap().insert(attempt.task.clone());
                 self.end(&attempt, "done");
+            } else if attempt.stops_at.is_some_and(|at| clock >= at) {
+                self.end(&attempt, "stopped");
             } else if clock >= self.lease {
                 self.end(&attempt, "lapsed");
             } else {
@@ -270,17 +277,17 @@
         let started_at = self.clock();
         let task = task.to_owned();
         let ends_at = started_at + duration;
-        self.running.push(Attempt { task, number, cpu, started_at, ends_at });
+        self.running.push(Attempt { task, number, cpu, started_at, ends_at, stops_at: None });
         self.answer(200, None)
     }
 
     fn stop(&mut self, body: &Value) -> Response {
         let (task, number) = (body["task"].as_str().unwrap(), body["run"].as_u64().unwrap());
         self.stopped.push((task.to_owned(), number));
-        let is_meant = |attempt: &Attempt| attempt.task == task && attempt.number == number;
-        if let Some(index) = self.running.iter().position(is_meant) {
-            let attempt = self.running.swap_remove(index);
-            self.end(&attempt, "stopped");
+        let stops_at = self.clock() + STOP_MS;
+        let is_meant = |attempt: &&mut Attempt| attempt.task == task && attempt.number == number;
+        if let Some(attempt) = self.running.iter_mut().find(is_meant) {
+            attempt.stops_at.get_or_insert(stops_at);
         }
         self.answer(200, None)
     }
