Log each abandoned batch with its job, and who forwarded a batch

Cause: a batch that is abandoned has no outcome and no line, so a trace can't tell whether and when the first of two runs was given up, nor whether the notification of its abandonment arrived; and the owner's lines don't name the VM that forwarded a batch.

Change: batch-abandoned with job, origin (caller, vm, link, standstill), from, ms and started, on the VM that ran the batch; job, origin and vm on the VM that had forwarded it. batch-run has from. No decision changes.

--- a/src/schedule/engine.rs
+++ b/src/schedule/engine.rs
@@ -150,6 +150,11 @@
         self.batches.len()
     }
 
+    /// Whether any attempt of a batch that has not ended was sent.
+    pub fn has_started(&self, batch: BatchId) -> bool {
+        self.batches.get(&batch).is_some_and(|batch| batch.started)
+    }
+
     /// The number of batches that have not started.
     pub fn waiting(&self) -> usize {
         self.batches.values().filter(|batch| !batch.started).count()
--- a/src/vm/core.rs
+++ b/src/vm/core.rs
@@ -1,6 +1,7 @@
 //! The state behind the VM's lock: the scheduler, the view of target ownership, and the waiters for batches.
 
 use std::collections::{BTreeMap, HashMap};
+use std::fmt;
 use std::sync::Arc;
 
 use smol::channel::{self, Receiver, Sender};
@@ -47,10 +48,66 @@
 struct Waiter {
     /// The id that the caller gave the batch.
     id: Arc<str>,
+    /// The name of the VM that forwarded the batch; `None` if a caller submitted it to this VM.
+    from: Option<Arc<str>>,
     submitted_at: Millis,
     sender: Sender<Outcome>,
 }
 
+impl Waiter {
+    /// The VM that forwarded the batch, as shown in the log.
+    fn from(&self) -> &str {
+        self.from.as_deref().unwrap_or("caller")
+    }
+}
+
+/// A VM that forwarded a batch.
+#[derive(Clone, Debug)]
+pub(super) struct Forwarder {
+    pub incarnation: Incarnation,
+    pub vm: Arc<str>,
+    /// The VM's number for the batch.
+    pub number: u64,
+}
+
+/// Who or what caused a batch to be abandoned.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Origin {
+    /// The caller that submitted the batch to this VM left.
+    Caller,
+    /// The VM that forwarded the batch abandoned it.
+    Vm,
+    /// The link to the VM that forwarded the batch was lost.
+    Link,
+    /// This VM stood still.
+    Standstill,
+}
+
+impl fmt::Display for Origin {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Caller => "caller",
+            Self::Vm => "vm",
+            Self::Link => "link",
+            Self::Standstill => "standstill",
+        })
+    }
+}
+
+/// A batch that was abandoned.
+#[derive(Clone, Debug)]
+pub(super) struct Abandoned {
+    /// The id that the caller gave the batch.
+    pub job: Arc<str>,
+    pub origin: Origin,
+    /// The VM that forwarded the batch, as shown in the log.
+    pub from: Arc<str>,
+    /// The time since the batch was submitted on this VM.
+    pub age: Millis,
+    /// Whether any of its tasks was started on this VM.
+    pub started: bool,
+}
+
 /// The consequences of an event that are carried out after the lock is released.
 #[derive(Debug, Default)]
 pub(super) struct Effects {
@@ -66,6 +123,8 @@
     pub lost: Vec<(Arc<str>, Loss)>,
     /// The standstill that has just ended, if any.
     pub standstill: Option<Standstill>,
+    /// The batches that were abandoned.
+    pub abandoned: Vec<Abandoned>,
 }
 
 /// A time for which the VM handled nothing, as its machine was frozen or suspended.
@@ -111,6 +170,7 @@
         effects.standstill = Some(Standstill { duration, abandoned: forwarded.len() });
         for ((from, _), batch) in forwarded {
             if let Some(waiter) = self.waiters.remove(&batch) {
+                effects.abandoned.push(self.abandoned(now, batch, &waiter, Origin::Standstill));
                 self.cut.entry(from).or_default().push(waiter);
             }
             self.handle(now, Event::Abandon { batch }, effects);
@@ -165,20 +225,43 @@
         time_left: Millis,
         effects: &mut Effects,
     ) -> (BatchId, Receiver<Outcome>) {
-        let batch = self.next_batch;
-        self.next_batch += 1;
-        let (sender, outcome) = channel::bounded(1);
-        let id = Arc::clone(&spec.id);
-        self.waiters.insert(batch, Waiter { id, submitted_at: now, sender });
+        let (batch, outcome) = self.add_waiter(now, &spec, None);
         self.handle(now, Event::Submit { batch, spec, age, time_left }, effects);
         (batch, outcome)
     }
 
-    /// Records that a batch runs for another VM, unless it has already ended.
-    pub fn record_forwarded(&mut self, from: Incarnation, number: u64, batch: BatchId) {
+    /// As [`Self::submit`], for a batch that another VM forwarded.
+    pub fn submit_forwarded(
+        &mut self,
+        now: Millis,
+        from: Forwarder,
+        spec: Arc<Spec>,
+        age: Millis,
+        time_left: Millis,
+        effects: &mut Effects,
+    ) -> Receiver<Outcome> {
+        let Forwarder { incarnation, vm, number } = from;
+        let (batch, outcome) = self.add_waiter(now, &spec, Some(vm));
+        self.handle(now, Event::Submit { batch, spec, age, time_left }, effects);
+        // The batch may have ended at once.
         if self.waiters.contains_key(&batch) {
-            self.forwarded.insert((from, number), batch);
+            self.forwarded.insert((incarnation, number), batch);
         }
+        outcome
+    }
+
+    fn add_waiter(
+        &mut self,
+        now: Millis,
+        spec: &Spec,
+        from: Option<Arc<str>>,
+    ) -> (BatchId, Receiver<Outcome>) {
+        let batch = self.next_batch;
+        self.next_batch += 1;
+        let (sender, outcome) = channel::bounded(1);
+        let id = Arc::clone(&spec.id);
+        self.waiters.insert(batch, Waiter { id, from, submitted_at: now, sender });
+        (batch, outcome)
     }
 
     /// Removes and returns a batch that another VM forwarded.
@@ -194,33 +277,46 @@
     }
 
     /// Abandons a batch, unless it has ended.
-    pub fn abandon(&mut self, now: Millis, batch: BatchId, effects: &mut Effects) {
-        if self.waiters.remove(&batch).is_some() {
+    pub fn abandon(&mut self, now: Millis, batch: BatchId, origin: Origin, effects: &mut Effects) {
+        if let Some(waiter) = self.waiters.remove(&batch) {
+            effects.abandoned.push(self.abandoned(now, batch, &waiter, origin));
             self.handle(now, Event::Abandon { batch }, effects);
         }
     }
 
+    /// Describes a batch that is about to be abandoned.
+    fn abandoned(&self, now: Millis, batch: BatchId, waiter: &Waiter, origin: Origin) -> Abandoned {
+        Abandoned {
+            job: Arc::clone(&waiter.id),
+            origin,
+            from: Arc::from(waiter.from()),
+            age: now - waiter.submitted_at,
+            started: self.engine.has_started(batch),
+        }
+    }
+
     /// Logs the end of a batch and sends its outcome to the waiter.
     fn finish(&mut self, batch: BatchId, outcome: Outcome, account: &Account) {
         self.forwarded.retain(|_, known| *known != batch);
-        let Some(Waiter { id, submitted_at, sender }) = self.waiters.remove(&batch) else { return };
+        let Some(waiter) = self.waiters.remove(&batch) else { return };
         let Account { backlog, waited, attempts, failures, aborted } = *account;
-        let waited = waited.map_or_else(|| "never".to_owned(), |waited| waited.0.to_string());
-        let took = self.clock.now() - submitted_at;
+        let wait = waited.map_or_else(|| "never".to_owned(), |waited| waited.0.to_string());
+        let took = self.clock.now() - waiter.submitted_at;
         event!(
             at outcome.log_level(),
             "batch-run",
-            job = id,
+            job = waiter.id,
+            from = waiter.from(),
             outcome = outcome,
             ms = took.0,
             backlog_ms = backlog.0,
-            waited_ms = waited,
+            waited_ms = wait,
             starts = attempts,
             failures = failures,
             cuts = aborted,
         );
         // The receiver may have been dropped just before, as its caller left.
-        drop(sender.try_send(outcome));
+        drop(waiter.sender.try_send(outcome));
     }
 }
 
--- a/src/vm/node.rs
+++ b/src/vm/node.rs
@@ -24,7 +24,7 @@
 use crate::store::Store;
 
 use super::adapter::{Adapter, Client, Site};
-use super::core::{Core, Effects, Standstill};
+use super::core::{Core, Effects, Origin, Standstill};
 
 /// The longest time between two ticks.
 const TICK_MAX: Millis = Millis(250);
@@ -257,6 +257,17 @@
             self.metrics.count(Counter::Standstills);
             event!(warn, "stood-still", ms = duration.0, batches = abandoned);
         }
+        for batch in &effects.abandoned {
+            event!(
+                warn,
+                "batch-abandoned",
+                job = batch.job,
+                origin = batch.origin,
+                from = batch.from,
+                ms = batch.age.0,
+                started = batch.started
+            );
+        }
         for target in &effects.acquired {
             self.metrics.count(Counter::TargetsAcquired);
             event!(info, "target-owned", target = target);
@@ -419,7 +430,7 @@
         drop(abandoned);
         self.with_core(|core, now, effects| {
             for batch in batches {
-                core.abandon(now, batch, effects);
+                core.abandon(now, batch, Origin::Link, effects);
             }
         });
     }
--- a/src/vm/peers.rs
+++ b/src/vm/peers.rs
@@ -11,7 +11,7 @@
 use crate::runtime;
 use crate::wire::{Call, Notification, Ownership, Reply, Utilization};
 
-use super::core::PeerLoad;
+use super::core::{Forwarder, Origin, PeerLoad};
 use super::node::Node;
 
 impl Handler for Node {
@@ -22,11 +22,10 @@
     ) -> Pin<Box<dyn Future<Output = Reply> + Send>> {
         match call {
             Call::Batch { id, spec, age, time_left } => {
+                let vm = Arc::from(self.name_of_peer(from));
+                let from = Forwarder { incarnation: from, vm, number: id };
                 let outcome = self.with_core(|core, now, effects| {
-                    let (batch, outcome) =
-                        core.submit(now, Arc::new(spec), age, time_left, effects);
-                    core.record_forwarded(from, id, batch);
-                    outcome
+                    core.submit_forwarded(now, from, Arc::new(spec), age, time_left, effects)
                 });
                 Box::pin(async move {
                     // The channel closes when the batch is abandoned; nobody reads this reply then.
@@ -52,7 +51,7 @@
         match notification {
             Notification::Abandon { id } => self.with_core(|core, now, effects| {
                 if let Some(batch) = core.take_forwarded(from, id) {
-                    core.abandon(now, batch, effects);
+                    core.abandon(now, batch, Origin::Vm, effects);
                 }
             }),
             Notification::Ownership(ownership) => self.record_ownership(from, &ownership),
--- a/src/vm/submit.rs
+++ b/src/vm/submit.rs
@@ -17,6 +17,7 @@
 use crate::schedule::BatchId;
 use crate::wire::{Call, Notification, Reply};
 
+use super::core::Origin;
 use super::node::Node;
 
 /// How long a batch waits while no VM owns targets, as shortly after the VMs have started.
@@ -191,12 +192,15 @@
     fn name_of(&self, owner: Owner) -> String {
         match owner {
             Owner::Local => self.settings.vm.clone(),
-            Owner::Peer(vm) => {
-                self.links.get(vm).map_or_else(|| vm.to_string(), |link| link.hello.vm.clone())
-            }
+            Owner::Peer(vm) => self.name_of_peer(vm),
         }
     }
 
+    /// The name of another VM, or its incarnation if its link has ended.
+    pub(super) fn name_of_peer(&self, vm: Incarnation) -> String {
+        self.links.get(vm).map_or_else(|| vm.to_string(), |link| link.hello.vm.clone())
+    }
+
     /// The VMs that own healthy targets. Near the batch's data are the owners of the targets in `near`; without such
     /// targets, the VMs of this failure domain are near.
     fn candidates(&self, near: Option<&[Arc<str>]>) -> Vec<Candidate<Owner>> {
@@ -234,7 +238,7 @@
         let (batch, outcome) = self.with_core(|core, now, effects| {
             core.submit(now, Arc::clone(spec), now - wait.received_at, wait.deadline - now, effects)
         });
-        let guard = Guard { node: self, running: Running::Local(batch) };
+        let guard = Guard { node: self, job: &spec.id, running: Running::Local(batch) };
         let outcome = outcome.recv().await.unwrap_or(Outcome::Expired);
         guard.close();
         outcome
@@ -251,7 +255,8 @@
         let number = self.next_batch_number.fetch_add(1, Ordering::Relaxed);
         let now = self.now();
         let (age, time_left) = (now - wait.received_at, wait.deadline - now);
-        let guard = Guard { node: self, running: Running::Peer(Arc::clone(&link), number) };
+        let running = Running::Peer(Arc::clone(&link), number);
+        let guard = Guard { node: self, job: &spec.id, running };
         let call = Call::Batch { id: number, spec: Spec::clone(spec), age, time_left };
         let reply = link.call(call).await;
         guard.close();
@@ -270,6 +275,8 @@
 /// Abandons a batch when it is dropped, unless the batch has ended.
 struct Guard<'a> {
     node: &'a Arc<Node>,
+    /// The id that the caller gave the batch.
+    job: &'a str,
     running: Running,
 }
 
@@ -293,9 +300,15 @@
         match &self.running {
             Running::Local(batch) => {
                 let batch = *batch;
-                self.node.with_core(|core, now, effects| core.abandon(now, batch, effects));
+                self.node.with_core(|core, now, effects| {
+                    core.abandon(now, batch, Origin::Caller, effects);
+                });
+            }
+            Running::Peer(link, number) => {
+                let (job, vm) = (self.job, &link.hello.vm);
+                event!(warn, "batch-abandoned", job = job, origin = Origin::Caller, vm = vm);
+                link.notify(Notification::Abandon { id: *number });
             }
-            Running::Peer(link, number) => link.notify(Notification::Abandon { id: *number }),
             Running::Ended => return,
         }
         self.node.metrics.count(Counter::BatchesAbandoned);
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -455,6 +455,50 @@
     }
 }
 
+/// A job of one long task whose data is near the workers of a domain.
+fn long_job_near(rack: &str) -> Value {
+    json!({ "spec": "500 10000", "bestEffort": true,
+        "steps": [{ "count": 1, "cpu": 500, "memMb": 64, "estMs": 10_000, "affinity": rack }] })
+}
+
+/// An abandoned batch has no outcome, so nothing else shows that its tasks were stopped, why and when.
+#[test]
+fn an_abandoned_batch_is_logged_with_its_job_and_origin() {
+    let env = Env::start(1, 2);
+    let wait_for_line = |vm: usize, words: &[&str]| {
+        wait_until(&format!("a line with {words:?}"), || env.vms[vm].logged(words));
+    };
+    assert_eq!(env.post(0, 1, &long_job_near("rack-a"), Millis(400)), None);
+    let local = ["event=batch-abandoned", "job=0000000000000001 "];
+    wait_for_line(0, &[&local[..], &["origin=caller from=caller", "started=true"]].concat());
+    assert_eq!(env.post(0, 2, &long_job_near("rack-b"), Millis(400)), None);
+    let forwarded = ["event=batch-abandoned", "job=0000000000000002 "];
+    wait_for_line(0, &[&forwarded[..], &["origin=caller vm=edge-b-1"]].concat());
+    wait_for_line(1, &[&forwarded[..], &["origin=vm from=edge-a-0", "started=true"]].concat());
+    let running = || env.workers.iter().map(platform::worker::Worker::running).sum::<usize>();
+    wait_until("the stopped tasks have ended", || running() == 0);
+    thread::scope(|scope| {
+        scope.spawn(|| env.post(0, 3, &long_job_near("rack-b"), Millis(10_000)));
+        wait_until("the third job runs", || running() > 0);
+        env.vms[0].kill();
+    });
+    let cut = ["event=batch-abandoned", "job=0000000000000003 "];
+    wait_for_line(1, &[&cut[..], &["origin=link from=edge-a-0", "started=true"]].concat());
+}
+
+#[test]
+fn the_end_of_a_batch_is_logged_with_the_vm_that_forwarded_it() {
+    let env = Env::start(1, 2);
+    for (rack, vm, from) in [("rack-a", 0, "from=caller"), ("rack-b", 1, "from=edge-a-0")] {
+        let body = json!({ "spec": "500 10", "bestEffort": true,
+            "steps": [{ "count": 1, "cpu": 500, "memMb": 64, "estMs": 10, "affinity": rack }] });
+        assert_eq!(env.post(0, vm as u64, &body, Millis(5000)), Some(done()));
+        let job = format!("job={vm:016x}");
+        let words = ["event=batch-run", &job, from, "outcome=done"];
+        wait_until(&format!("a line with {words:?}"), || env.vms[vm].logged(&words));
+    }
+}
+
 /// The number of targets that have an owner according to a VM's status, and the number that all VMs claim to own.
 fn owners(status: &Value) -> (usize, u64) {
     let targets = status["targets"].as_array().unwrap();
