--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -58,8 +58,8 @@
     }
 
     /// Queues a heartbeat, or drops it if the queue is full.
-    pub fn send_heartbeat(&self) {
-        drop(self.queue.try_send(Frame::Heartbeat));
+    pub fn send_heartbeat(&self, heartbeat: Frame) {
+        drop(self.queue.try_send(heartbeat));
     }
 
     /// Passes a reply on to the call that waits for it, or drops it if none does.
