Close a link whose queue has no room for a notification

Callers could see a task run twice: a batch went on although its caller had left and sent the job again.

Cause: Link::notify dropped what found the queue of a link full, while the link lived on. The owner never heard of the abandoned batch; an announcement of ownership that was dropped stayed unknown until the next one.

Change: a notification that finds no room closes the link, which abandons all that was forwarded by it and has ownership announced anew on the next link.

Evidence: a_notification_that_finds_no_room_closes_the_link failed on the old code with "256 of 100000 queued".

--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
-use smol::channel::{self, Receiver, Sender};
+use smol::channel::{self, Receiver, Sender, TrySendError};
 
 use crate::wire::{Call, Frame, Hello, Notification, Reply};
 
@@ -52,9 +52,17 @@
         reply.recv().await.map_err(|_| Disconnected)
     }
 
-    /// Queues a notification, or drops it if the queue is full.
+    /// Queues a notification. If the queue is full, closes the link, by which the peer learns that it may have missed one.
     pub fn notify(&self, notification: Notification) {
-        drop(self.queue.try_send(Frame::Notification(notification)));
+        let queued = self.queue.try_send(Frame::Notification(notification));
+        if matches!(queued, Err(TrySendError::Full(_))) {
+            self.close();
+        }
+    }
+
+    /// Waits until the link is closed.
+    pub async fn closed(&self) {
+        self.queue.closed().await;
     }
 
     /// Queues a heartbeat, or drops it if the queue is full.
--- a/src/peer/links.rs
+++ b/src/peer/links.rs
@@ -393,7 +393,11 @@
                 }
             }
         };
-        sending.or(replies).or(heartbeats).await
+        let closed = async {
+            link.closed().await;
+            Err(LinkError::new("the send queue was full"))
+        };
+        closed.or(sending).or(replies).or(heartbeats).await
     }
 
     /// Changes the set of links that are up, and reports it.
--- a/tests/links.rs
+++ b/tests/links.rs
@@ -14,7 +14,7 @@
 use gypsumkeel::ownership::Quota;
 use gypsumkeel::peer::{Handler, Link, Links, Rules};
 use gypsumkeel::runtime;
-use gypsumkeel::wire::{Call, Hello, Notification, Reply, VERSION};
+use gypsumkeel::wire::{Call, Frame, Hello, Notification, Reply, VERSION};
 use smol::Timer;
 use smol::net::TcpListener;
 use testenv::{Proxy, free_host, until};
@@ -156,3 +156,21 @@
         assert!(call.await.is_err(), "the call outlives the link");
     });
 }
+
+/// Guards against a batch that runs on although its caller has left, since the notice of it was dropped.
+#[test]
+fn a_notification_that_finds_no_room_closes_the_link() {
+    let (link, frames) = Link::new(hello((free_host(), 9).into()));
+    for id in 0..100_000 {
+        link.notify(Notification::Abandon { id });
+        if frames.is_closed() {
+            break;
+        }
+    }
+    let mut queued = Vec::new();
+    while let Ok(Frame::Notification(Notification::Abandon { id })) = frames.try_recv() {
+        queued.push(id);
+    }
+    let is_complete = queued.len() == 100_000;
+    assert!(is_complete || frames.is_closed(), "{} of 100000 queued", queued.len());
+}
