Log how old the last read of the routes was when routes are applied

Cause: a late configuration may come from a store connection that went silent, from a VM that is behind, or from one without processor time. The line about applied routes names the source alone.

Change: routes-applied has read_age_ms, the time since the store last answered this VM's read; the metric routes.read_age shows it at any time. No decision changes.

Result: the test fails on the code before with 'not within 20s: a line with ["event=routes-applied", "version=2 was=1", "source=store", "read_age_ms="]' and passes now.

--- a/src/metrics/names.rs
+++ b/src/metrics/names.rs
@@ -160,6 +160,8 @@
         TargetsAge = "targets.age",
         /// Milliseconds since the routes were applied.
         RoutesAge = "routes.age",
+        /// Milliseconds since the store last answered a read of the routes.
+        RoutesReadAge = "routes.read_age",
         /// Batches none of whose tasks has started.
         BatchesWaiting = "batches.waiting",
         /// Milliseconds that all owned targets together need for the waiting work.
--- a/src/vm/follow.rs
+++ b/src/vm/follow.rs
@@ -38,6 +38,7 @@
                 if let Some(entry) = read.value.filter(|_| read.index != cursor.index()) {
                     self.apply_routes(&entry.value, "store");
                 }
+                self.routes_read_at.store(self.now().0, Ordering::Relaxed);
                 read.index
             });
             self.record_store_status(index.is_ok());
@@ -120,6 +121,7 @@
             version = version,
             was = current.version,
             source = source,
+            read_age_ms = self.age(&self.routes_read_at).0,
             routes = table.len()
         );
         self.routes_text.store(Arc::new(text.to_vec()));
--- a/src/vm/meter.rs
+++ b/src/vm/meter.rs
@@ -29,6 +29,7 @@
             (Gauge::CpuDraining, capacity.draining),
             (Gauge::TargetsAge, self.age(&self.targets_read_at).0),
             (Gauge::RoutesAge, self.age(&self.routes_applied_at).0),
+            (Gauge::RoutesReadAge, self.age(&self.routes_read_at).0),
             (Gauge::Backlog, load.backlog.0),
             (Gauge::BatchesWaiting, waiting as u64),
             (Gauge::PeersLinked, self.links.up().len() as u64),
--- a/src/vm/node.rs
+++ b/src/vm/node.rs
@@ -93,6 +93,8 @@
     pub(super) routes: ArcSwap<Table>,
     /// When the routes came into force, in milliseconds of the clock.
     pub(super) routes_applied_at: AtomicU64,
+    /// When the store last answered a read of the routes, in milliseconds of the clock.
+    pub(super) routes_read_at: AtomicU64,
     /// When the list of targets was last read, in milliseconds of the clock.
     pub(super) targets_read_at: AtomicU64,
     /// The encoded configuration that the routes were decoded from.
@@ -156,6 +158,7 @@
             topology: ArcSwap::default(),
             routes: ArcSwap::default(),
             routes_applied_at: AtomicU64::new(0),
+            routes_read_at: AtomicU64::new(0),
             targets_read_at: AtomicU64::new(0),
             routes_text: ArcSwap::default(),
             refused: Mutex::default(),
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use gypsumkeel::clock::Millis;
-use platform::{Env, LIMIT, Reply, Vm, metric_in, wait_until};
+use platform::{Env, LIMIT, Reply, Vm, Way, metric_in, wait_until};
 use rustix::process::Signal;
 use serde_json::{Value, json};
 
@@ -461,6 +461,35 @@
         "steps": [{ "count": 1, "cpu": 500, "memMb": 64, "estMs": 10_000, "affinity": rack }] })
 }
 
+/// The value of a number in the only line of a VM's log that has all `words`.
+fn number_logged(vm: &Vm, words: &[&str], key: &str) -> u64 {
+    let log = vm.log.lock().unwrap();
+    let line = log.iter().find(|line| words.iter().all(|word| line.contains(word)));
+    let line = line.expect("the line is there");
+    let value = line.split(' ').find_map(|pair| pair.strip_prefix(&format!("{key}=")));
+    value.expect("the number is there").parse().expect("it is a number")
+}
+
+/// Routes that come late must show whether the store or its connection is at fault, or this VM.
+#[test]
+fn applied_routes_are_logged_with_their_source_and_the_age_of_the_last_read() {
+    let env = Env::start(1, 1);
+    let silent = Duration::from_millis(500);
+    for way in [Way::Up, Way::Down] {
+        env.store_proxies[1].freeze(way, true);
+    }
+    thread::sleep(silent);
+    env.configure(2, "/other/");
+    for (vm, source) in [(0, "source=store"), (1, "source=edge-a-0")] {
+        let words = ["event=routes-applied", "version=2 was=1", source, "read_age_ms="];
+        wait_until(&format!("a line with {words:?}"), || env.vms[vm].logged(&words));
+    }
+    let words = ["event=routes-applied", "version=2"];
+    let age = Duration::from_millis(number_logged(&env.vms[1], &words, "read_age_ms"));
+    assert!(age >= silent, "{age:?}");
+    wait_until("the metric shows the silence", || env.metric(1, "routes.read_age") > 1000);
+}
+
 /// An abandoned batch has no outcome, so nothing else shows that its tasks were stopped, why and when.
 #[test]
 fn an_abandoned_batch_is_logged_with_its_job_and_origin() {
