Time how late ticks come, and log late ones

Cause: a VM that is short of processor time reads frames, callers' jobs and responses late, but nothing shows it unless it handles nothing at all for 600 ms.

Change: the metric ticks.lag, a histogram of the time by which ticks come late, and a warning tick-late above 300 ms, so at most three lines a second. A tick that is triggered early has no lag. No decision changes.

--- a/src/metrics/names.rs
+++ b/src/metrics/names.rs
@@ -180,6 +180,8 @@
         Batch = "batches.time",
         /// From the arrival of a batch at the owner of its targets to the start of its first task.
         Wait = "batches.wait",
+        /// From the time at which a tick was due to the tick.
+        TickLag = "ticks.lag",
         /// From the sending of a start call to a leased target to its response or timeout.
         Start = "leased.start_time",
     }
--- a/src/vm/node.rs
+++ b/src/vm/node.rs
@@ -29,6 +29,9 @@
 /// The longest time between two ticks.
 const TICK_MAX: Millis = Millis(250);
 
+/// The lag of a tick above which it is logged: half the time after which peers give a silent link up.
+const TICK_LAG_MAX: Millis = Millis(300);
+
 /// How long a starting VM waits until the store lists its registration before it acquires targets anyway.
 const REGISTRATION_WAIT_MAX: Millis = Millis(600);
 
@@ -407,6 +410,7 @@
                 Timer::after((wakeup - now).duration()).await;
             };
             timer.or(notified).await;
+            self.record_tick_lag(wakeup);
             if self.clock.now() < wakeup
                 && self.lock().engine.next_wakeup(self.clock.now()).is_some()
             {
@@ -422,6 +426,19 @@
         }
     }
 
+    /// Records how much later than due a tick comes. One that was triggered before it was due has no lag.
+    fn record_tick_lag(&self, due: Millis) {
+        let now = self.clock.now();
+        if now < due {
+            return;
+        }
+        let lag = now - due;
+        self.metrics.time(Timing::TickLag, lag);
+        if lag > TICK_LAG_MAX {
+            event!(warn, "tick-late", ms = lag.0);
+        }
+    }
+
     /// Triggers the next tick at once.
     pub(super) fn wake_ticker(&self) {
         self.ticker_wakeup.notify(1);
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -490,6 +490,22 @@
     wait_until("the metric shows the silence", || env.metric(1, "routes.read_age") > 1000);
 }
 
+/// A VM that is short of processor time acts late on all that it reads, which nothing else shows.
+#[test]
+fn a_vm_without_processor_time_shows_late_ticks() {
+    let env = Env::start(1, 1);
+    env.vms[0].signal(Signal::STOP);
+    // A tick is due within 250 ms.
+    thread::sleep(Duration::from_millis(700));
+    env.vms[0].signal(Signal::CONT);
+    let mut longest = 0;
+    wait_until("the metric shows the lag", || {
+        longest = longest.max(env.metric(0, "ticks.lag.max"));
+        longest > 400
+    });
+    wait_until("the lag is logged", || env.vms[0].logged(&["event=tick-late ms="]));
+}
+
 /// An abandoned batch has no outcome, so nothing else shows that its tasks were stopped, why and when.
 #[test]
 fn an_abandoned_batch_is_logged_with_its_job_and_origin() {
