Count the routes that are fetched from other VMs, and their bytes

Cause: each announcement of a newer version starts a fetch of the whole configuration; how often, and what it takes of a slow link, is not shown.

Change: the metrics routes.fetches and routes.fetched_bytes. No decision changes.

--- a/src/metrics/names.rs
+++ b/src/metrics/names.rs
@@ -110,6 +110,10 @@
         LeasesLate = "leases.late",
         /// Tasks that were given up because the lease on their target had lapsed.
         LeasesLapsed = "leases.lapsed",
+        /// Fetches of the routes from other VMs.
+        RoutesFetches = "routes.fetches",
+        /// Bytes of routes that other VMs returned.
+        RoutesFetchedBytes = "routes.fetched_bytes",
         /// Leased targets that this VM acquired.
         TargetsAcquired = "targets.taken",
         /// Leased targets that this VM lost because another VM took them over.
--- a/src/vm/follow.rs
+++ b/src/vm/follow.rs
@@ -9,7 +9,7 @@
 use crate::event;
 use crate::job::Incarnation;
 use crate::membership;
-use crate::metrics::Gauge;
+use crate::metrics::{Counter, Gauge};
 use crate::store::{Cursor, Decoder};
 use crate::wire::{Call, Reply};
 
@@ -133,9 +133,11 @@
     /// Fetches the configuration from a VM that has a newer version.
     pub(super) async fn fetch_routes(self: Arc<Self>, from: Incarnation) {
         let Some(link) = self.links.get(from) else { return };
+        self.metrics.count(Counter::RoutesFetches);
         if let Ok(Reply::Routes(text)) = link.call(Call::Routes).await
             && !text.is_empty()
         {
+            self.metrics.add(Counter::RoutesFetchedBytes, text.len() as u64);
             self.apply_routes(&text, &link.hello.vm);
         }
     }
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -487,6 +487,10 @@
     let words = ["event=routes-applied", "version=2"];
     let age = Duration::from_millis(number_logged(&env.vms[1], &words, "read_age_ms"));
     assert!(age >= silent, "{age:?}");
+    let page = env.metrics(1);
+    let (fetches, bytes) =
+        (metric_in(&page, "routes.fetches"), metric_in(&page, "routes.fetched_bytes"));
+    assert!(fetches > 0 && bytes > 0, "{fetches} fetches, {bytes} bytes");
     wait_until("the metric shows the silence", || env.metric(1, "routes.read_age") > 1000);
 }
 
