Log targets that are taken from a known owner, or announced by two VMs

Cause: whether VMs of a domain with different views take targets from each other can't be seen: target-owned doesn't say whether another VM had the target, nor what was known of it.

Change: target-taken, with the former owner's name and the evidence on whether it is alive (a warning if it may be, else at level info), and target-contested, once for each target that another VM announces while this one owns it. At most one line per change of owner. No decision changes.

Result: the platform's test fails on the code before with 'not within 20s: a line with ["event=target-taken", "target=w-a-0", "vm=edge-a-0", "linked=false refused=true"]' and passes now; the test of ownership needs the new functions.

--- a/src/ownership/mod.rs
+++ b/src/ownership/mod.rs
@@ -257,6 +257,20 @@
         self.alive(now).find(|(_, peer)| owns(peer)).map(|(id, _)| id)
     }
 
+    /// The VM that last announced the target as its own, alive or not.
+    pub fn claimant(&self, target: &str) -> Option<&Peer> {
+        self.peers
+            .values()
+            .find(|peer| peer.owns.as_ref().is_some_and(|owns| owns.contains(target)))
+    }
+
+    /// The targets of the local VM that another VM announces as its own for the first time.
+    pub fn contested(&self, from: Incarnation, owns: &BTreeSet<Arc<str>>) -> Vec<Arc<str>> {
+        let known = self.announcements.get(&from);
+        let is_new = |target: &&Arc<str>| known.is_none_or(|known| !known.owns.contains(*target));
+        owns.intersection(&self.owned).filter(is_new).cloned().collect()
+    }
+
     /// The other VMs that are alive.
     pub fn alive(&self, now: Millis) -> impl Iterator<Item = (Incarnation, &Peer)> {
         let trusted = self.trusts_registrations(now);
--- a/src/vm/core.rs
+++ b/src/vm/core.rs
@@ -10,7 +10,7 @@
 use crate::clock::{Clock, Millis};
 use crate::event;
 use crate::job::Incarnation;
-use crate::ownership::Ownership;
+use crate::ownership::{Ownership, Presence};
 use crate::schedule::{Account, Action, BatchId, Engine, Event, Loss, Trouble};
 use crate::wire::Utilization;
 
@@ -125,6 +125,18 @@
     pub standstill: Option<Standstill>,
     /// The batches that were abandoned.
     pub abandoned: Vec<Abandoned>,
+    /// The acquired targets that another VM had announced as its own.
+    pub taken: Vec<Taken>,
+}
+
+/// An acquired target that another VM had announced as its own.
+#[derive(Clone, Debug)]
+pub(super) struct Taken {
+    pub target: Arc<str>,
+    /// The name of the other VM.
+    pub vm: Arc<str>,
+    /// The evidence on whether the other VM is alive.
+    pub presence: Presence,
 }
 
 /// A time for which the VM handled nothing, as its machine was frozen or suspended.
@@ -201,6 +213,7 @@
                     );
                 }
                 Action::Acquired { target } => {
+                    effects.taken.extend(self.taken(&target));
                     self.ownership.record_acquired(&target);
                     effects.ownership_changed = true;
                     effects.acquired.push(target);
@@ -215,6 +228,13 @@
         }
     }
 
+    /// Describes a target that is about to be recorded as acquired, if another VM had announced it.
+    fn taken(&self, target: &Arc<str>) -> Option<Taken> {
+        let claimant = self.ownership.claimant(target)?;
+        let (vm, presence) = (Arc::clone(&claimant.vm), claimant.presence);
+        Some(Taken { target: Arc::clone(target), vm, presence })
+    }
+
     /// Submits a batch to the scheduler. The returned channel receives its outcome, or is closed if the batch is
     /// abandoned.
     pub fn submit(
--- a/src/vm/node.rs
+++ b/src/vm/node.rs
@@ -278,6 +278,19 @@
             self.metrics.count(Counter::TargetsAcquired);
             event!(info, "target-owned", target = target);
         }
+        for taken in &effects.taken {
+            let Presence { registered, linked, refused } = taken.presence;
+            let may_be_alive = linked || (registered && !refused);
+            event!(
+                at if may_be_alive { log::Level::Warn } else { log::Level::Info },
+                "target-taken",
+                target = taken.target,
+                vm = taken.vm,
+                registered = registered,
+                linked = linked,
+                refused = refused
+            );
+        }
         for (target, loss) in &effects.lost {
             let is_fenced = *loss == Loss::Fenced;
             let counter = if is_fenced { Counter::TargetsFenced } else { Counter::TargetsReleased };
--- a/src/vm/peers.rs
+++ b/src/vm/peers.rs
@@ -118,10 +118,15 @@
 impl Node {
     fn record_ownership(self: &Arc<Self>, from: Incarnation, ownership: &Ownership) {
         let targets = ownership.targets.iter().map(|id| Arc::from(id.as_str())).collect();
-        self.with_core(|core, _, _| {
+        let contested = self.with_core(|core, _, _| {
             core.round = core.round.max(ownership.round);
+            let contested = core.ownership.contested(from, &targets);
             core.ownership.record_announcement(from, targets, ownership.draining);
+            contested
         });
+        for target in contested {
+            event!(warn, "target-contested", target = target, vm = self.name_of_peer(from));
+        }
         self.owners_changed.notify(usize::MAX);
         self.update_ownership();
     }
--- a/tests/ownership.rs
+++ b/tests/ownership.rs
@@ -306,3 +306,21 @@
     let acquired = view.to_acquire(Millis(30)).len() + other.to_acquire(Millis(30)).len();
     assert_eq!(acquired, 16);
 }
+
+/// VMs whose views differ own the same target for a while, which only their announcements show.
+#[test]
+fn a_target_that_another_vm_announces_too_is_contested_once() {
+    let mut views = views(&["v0", "v1"]);
+    let view = &mut views[0];
+    for target in owned("a", 3) {
+        view.record_acquired(&target);
+    }
+    let announced = owned("a", 5);
+    assert_eq!(view.contested(id(1), &announced), Vec::from_iter(owned("a", 3)));
+    assert!(view.contested(id(1), &owned("b", 5)).is_empty());
+    view.record_announcement(id(1), announced.clone(), false);
+    assert!(view.contested(id(1), &announced).is_empty(), "it is reported once");
+    let claimant = |target: &str| view.claimant(target).map(|peer| peer.vm.to_string());
+    assert_eq!(claimant("a0").as_deref(), Some("v1"));
+    assert_eq!(claimant("a9"), None);
+}
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -35,6 +35,16 @@
     (0..2).find(owns).unwrap()
 }
 
+/// The VM of domain a that owns a worker in its own view.
+fn owner_of(env: &Env, worker: &str) -> usize {
+    let owns = |vm: usize| {
+        let status = env.status(vm);
+        let targets = status["targets"].as_array().unwrap().iter();
+        targets.clone().any(|target| target["id"] == worker && target["owner"] == status["vm"])
+    };
+    (0..2).find(|&vm| owns(vm)).expect("a VM owns the worker")
+}
+
 /// A condition that becomes true after `limit`.
 fn after(limit: Duration) -> impl Fn() -> bool + Sync {
     let start = Instant::now();
@@ -510,6 +520,20 @@
     wait_until("the lag is logged", || env.vms[0].logged(&["event=tick-late ms="]));
 }
 
+/// Whether an owner was known to be gone when its target was acquired decides whether VMs' views differ.
+#[test]
+fn a_target_that_is_taken_is_logged_with_what_is_known_of_its_owner() {
+    let env = Env::start(2, 1);
+    env.wait_for_stable_ownership();
+    let owner = owner_of(&env, "w-a-0");
+    let other = 1 - owner;
+    env.vms[owner].kill();
+    let vm = format!("vm=edge-a-{owner}");
+    let words = ["event=target-taken", "target=w-a-0", &vm, "linked=false refused=true"];
+    wait_until(&format!("a line with {words:?}"), || env.vms[other].logged(&words));
+    assert!(env.vms[other].logged(&["level=info", "event=target-taken"]));
+}
+
 /// An abandoned batch has no outcome, so nothing else shows that its tasks were stopped, why and when.
 #[test]
 fn an_abandoned_batch_is_logged_with_its_job_and_origin() {
