--- a/src/metrics/names.rs
+++ b/src/metrics/names.rs
@@ -110,6 +110,10 @@
         LeasesLate = "leases.late",
         /// Tasks that were given up because the lease on their target had lapsed.
         LeasesLapsed = "leases.lapsed",
+        /// Fetches of the routes from other VMs.
+        RoutesFetches = "routes.fetches",
+        /// Bytes of routes that other VMs returned.
+        RoutesFetchedBytes = "routes.fetched_bytes",
         /// Leased targets that this VM acquired.
         TargetsAcquired = "targets.taken",
         /// Leased targets that this VM lost because another VM took them over.
@@ -160,6 +164,8 @@
         TargetsAge = "targets.age",
         /// Milliseconds since the routes were applied.
         RoutesAge = "routes.age",
+        /// Milliseconds since the store last answered a read of the routes.
+        RoutesReadAge = "routes.read_age",
         /// Batches none of whose tasks has started.
         BatchesWaiting = "batches.waiting",
         /// Milliseconds that all owned targets together need for the waiting work.
@@ -178,6 +184,8 @@
         Batch = "batches.time",
         /// From the arrival of a batch at the owner of its targets to the start of its first task.
         Wait = "batches.wait",
+        /// From the time at which a tick was due to the tick.
+        TickLag = "ticks.lag",
         /// From the sending of a start call to a leased target to its response or timeout.
         Start = "leased.start_time",
     }
--- a/src/vm/node.rs
+++ b/src/vm/node.rs
@@ -29,6 +29,9 @@
 /// The longest time between two ticks.
 const TICK_MAX: Millis = Millis(250);
 
+/// The lag of a tick above which it is logged: half the time after which peers give a silent link up.
+const TICK_LAG_MAX: Millis = Millis(300);
+
 /// How long a starting VM waits until the store lists its registration, and until it has read the stored round, before it
 /// acquires targets anyway.
 const REGISTRATION_WAIT_MAX: Millis = Millis(600);
@@ -94,6 +97,8 @@
     pub(super) routes: ArcSwap<Table>,
     /// When the routes came into force, in milliseconds of the clock.
     pub(super) routes_applied_at: AtomicU64,
+    /// When the store last answered a read of the routes, in milliseconds of the clock.
+    pub(super) routes_read_at: AtomicU64,
     /// When the list of targets was last read, in milliseconds of the clock.
     pub(super) targets_read_at: AtomicU64,
     /// The encoded configuration that the routes were decoded from.
@@ -159,6 +164,7 @@
             topology: ArcSwap::default(),
             routes: ArcSwap::default(),
             routes_applied_at: AtomicU64::new(0),
+            routes_read_at: AtomicU64::new(0),
             targets_read_at: AtomicU64::new(0),
             routes_text: ArcSwap::default(),
             refused: Mutex::default(),
@@ -276,6 +282,19 @@
             self.metrics.count(Counter::TargetsAcquired);
             event!(info, "target-owned", target = target);
         }
+        for taken in &effects.taken {
+            let Presence { registered, linked, refused } = taken.presence;
+            let may_be_alive = linked || (registered && !refused);
+            event!(
+                at if may_be_alive { log::Level::Warn } else { log::Level::Info },
+                "target-taken",
+                target = taken.target,
+                vm = taken.vm,
+                registered = registered,
+                linked = linked,
+                refused = refused
+            );
+        }
         for (target, loss) in &effects.lost {
             let is_fenced = *loss == Loss::Fenced;
             let counter = if is_fenced { Counter::TargetsFenced } else { Counter::TargetsReleased };
@@ -410,6 +429,7 @@
                 Timer::after((wakeup - now).duration()).await;
             };
             timer.or(notified).await;
+            self.record_tick_lag(wakeup);
             if self.clock.now() < wakeup
                 && self.lock().engine.next_wakeup(self.clock.now()).is_some()
             {
@@ -425,6 +445,19 @@
         }
     }
 
+    /// Records how much later than due a tick comes. One that was triggered before it was due has no lag.
+    fn record_tick_lag(&self, due: Millis) {
+        let now = self.clock.now();
+        if now < due {
+            return;
+        }
+        let lag = now - due;
+        self.metrics.time(Timing::TickLag, lag);
+        if lag > TICK_LAG_MAX {
+            event!(warn, "tick-late", ms = lag.0);
+        }
+    }
+
     /// Triggers the next tick at once.
     pub(super) fn wake_ticker(&self) {
         self.ticker_wakeup.notify(1);
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use gypsumkeel::clock::Millis;
-use platform::{Env, LIMIT, Reply, Vm, metric_in, wait_until};
+use platform::{Env, LIMIT, Reply, Vm, Way, metric_in, wait_until};
 use rustix::process::Signal;
 use serde_json::{Value, json};
 
@@ -35,6 +35,16 @@
     (0..2).find(owns).unwrap()
 }
 
+/// The VM of domain a that owns a worker in its own view.
+fn owner_of(env: &Env, worker: &str) -> usize {
+    let owns = |vm: usize| {
+        let status = env.status(vm);
+        let targets = status["targets"].as_array().unwrap().iter();
+        targets.clone().any(|target| target["id"] == worker && target["owner"] == status["vm"])
+    };
+    (0..2).find(|&vm| owns(vm)).expect("a VM owns the worker")
+}
+
 /// A condition that becomes true after `limit`.
 fn after(limit: Duration) -> impl Fn() -> bool + Sync {
     let start = Instant::now();
@@ -461,6 +471,69 @@
         "steps": [{ "count": 1, "cpu": 500, "memMb": 64, "estMs": 10_000, "affinity": rack }] })
 }
 
+/// The value of a number in the only line of a VM's log that has all `words`.
+fn number_logged(vm: &Vm, words: &[&str], key: &str) -> u64 {
+    let log = vm.log.lock().unwrap();
+    let line = log.iter().find(|line| words.iter().all(|word| line.contains(word)));
+    let line = line.expect("the line is there");
+    let value = line.split(' ').find_map(|pair| pair.strip_prefix(&format!("{key}=")));
+    value.expect("the number is there").parse().expect("it is a number")
+}
+
+/// Routes that come late must show whether the store or its connection is at fault, or this VM.
+#[test]
+fn applied_routes_are_logged_with_their_source_and_the_age_of_the_last_read() {
+    let env = Env::start(1, 1);
+    let silent = Duration::from_millis(500);
+    for way in [Way::Up, Way::Down] {
+        env.store_proxies[1].freeze(way, true);
+    }
+    thread::sleep(silent);
+    env.configure(2, "/other/");
+    for (vm, source) in [(0, "source=store"), (1, "source=edge-a-0")] {
+        let words = ["event=routes-applied", "version=2 was=1", source, "read_age_ms="];
+        wait_until(&format!("a line with {words:?}"), || env.vms[vm].logged(&words));
+    }
+    let words = ["event=routes-applied", "version=2"];
+    let age = Duration::from_millis(number_logged(&env.vms[1], &words, "read_age_ms"));
+    assert!(age >= silent, "{age:?}");
+    let page = env.metrics(1);
+    let (fetches, bytes) =
+        (metric_in(&page, "routes.fetches"), metric_in(&page, "routes.fetched_bytes"));
+    assert!(fetches > 0 && bytes > 0, "{fetches} fetches, {bytes} bytes");
+    wait_until("the metric shows the silence", || env.metric(1, "routes.read_age") > 1000);
+}
+
+/// A VM that is short of processor time acts late on all that it reads, which nothing else shows.
+#[test]
+fn a_vm_without_processor_time_shows_late_ticks() {
+    let env = Env::start(1, 1);
+    env.vms[0].signal(Signal::STOP);
+    // A tick is due within 250 ms.
+    thread::sleep(Duration::from_millis(700));
+    env.vms[0].signal(Signal::CONT);
+    let mut longest = 0;
+    wait_until("the metric shows the lag", || {
+        longest = longest.max(env.metric(0, "ticks.lag.max"));
+        longest > 400
+    });
+    wait_until("the lag is logged", || env.vms[0].logged(&["event=tick-late ms="]));
+}
+
+/// Whether an owner was known to be gone when its target was acquired decides whether VMs' views differ.
+#[test]
+fn a_target_that_is_taken_is_logged_with_what_is_known_of_its_owner() {
+    let env = Env::start(2, 1);
+    env.wait_for_stable_ownership();
+    let owner = owner_of(&env, "w-a-0");
+    let other = 1 - owner;
+    env.vms[owner].kill();
+    let vm = format!("vm=edge-a-{owner}");
+    let words = ["event=target-taken", "target=w-a-0", &vm, "linked=false refused=true"];
+    wait_until(&format!("a line with {words:?}"), || env.vms[other].logged(&words));
+    assert!(env.vms[other].logged(&["level=info", "event=target-taken"]));
+}
+
 /// An abandoned batch has no outcome, so nothing else shows that its tasks were stopped, why and when.
 #[test]
 fn an_abandoned_batch_is_logged_with_its_job_and_origin() {
