Let only a later version replace the routes in force

The routes were compared, then stored, in steps that other threads can come between, and their text was stored apart from the table: an older version could replace a newer one, and a peer could be sent the text of another version.

Ruled out as the cause of the incident by reading: a VM on the platform runs all its tasks on one thread (runtime::block_on), and the steps had no await between them. With more threads the fault would act.

--- a/src/vm/announce.rs
+++ b/src/vm/announce.rs
@@ -26,7 +26,7 @@
 
     fn load_announcement(&self) -> Utilization {
         let load = self.lock().engine.load(self.clock.now());
-        Utilization { load, routes: self.routes.load().version }
+        Utilization { load, routes: self.routes.version() }
     }
 
     /// Announces to all linked VMs which targets this VM owns and how loaded they are.
--- a/src/vm/follow.rs
+++ b/src/vm/follow.rs
@@ -109,23 +109,18 @@
                 return;
             }
         };
-        let version = table.version;
-        let current = self.routes.load();
-        if version <= current.version {
-            return;
-        }
+        let (version, count) = (table.version, table.len());
+        let Some(previous) = self.routes.offer(table, text) else { return };
         event!(
             info,
             "routes-applied",
             version = version,
-            was = current.version,
+            was = previous,
             source = source,
-            routes = table.len()
+            routes = count
         );
-        self.routes_text.store(Arc::new(text.to_vec()));
-        self.routes.store(Arc::new(table));
         self.routes_applied_at.store(self.now().0, Ordering::Relaxed);
-        self.metrics.set(Gauge::RoutesVersion, version);
+        self.metrics.set(Gauge::RoutesVersion, self.routes.version());
     }
 
     /// Fetches the configuration from a VM that has a newer version.
--- a/src/vm/node.rs
+++ b/src/vm/node.rs
@@ -18,7 +18,7 @@
 use crate::metrics::{Counter, Metrics, Timer as Timing};
 use crate::ownership::{self, Ownership, Peer, Presence, Quota};
 use crate::peer::Links;
-use crate::route::Table;
+use crate::route::{Holder, Table};
 use crate::schedule::{BatchId, Engine, Event, Loss, Rules};
 use crate::settings::Lease;
 use crate::store::Store;
@@ -90,13 +90,11 @@
     pub(super) targets: Mutex<HashMap<Arc<str>, Target>>,
     /// The racks and failure domains of the listed targets.
     pub(super) topology: ArcSwap<Topology>,
-    pub(super) routes: ArcSwap<Table>,
+    pub(super) routes: Holder,
     /// When the routes came into force, in milliseconds of the clock.
     pub(super) routes_applied_at: AtomicU64,
     /// When the list of targets was last read, in milliseconds of the clock.
     pub(super) targets_read_at: AtomicU64,
-    /// The encoded configuration that the routes were decoded from.
-    pub(super) routes_text: ArcSwap<Vec<u8>>,
     /// Addresses of VMs that refuse connections.
     pub(super) refused: Mutex<BTreeSet<SocketAddr>>,
     /// Forwarded batches to abandon because their links have ended.
@@ -154,10 +152,9 @@
             core: Mutex::new(Core::new(engine, ownership, clock)),
             targets: Mutex::default(),
             topology: ArcSwap::default(),
-            routes: ArcSwap::default(),
+            routes: Holder::default(),
             routes_applied_at: AtomicU64::new(0),
             targets_read_at: AtomicU64::new(0),
-            routes_text: ArcSwap::default(),
             refused: Mutex::default(),
             abandoned: Mutex::default(),
             draining: AtomicBool::new(false),
@@ -182,7 +179,7 @@
 
     /// The routes in force.
     pub fn routes(&self) -> Arc<Table> {
-        self.routes.load_full()
+        self.routes.table()
     }
 
     /// Whether the VM is draining.
@@ -192,7 +189,7 @@
 
     /// Whether the platform should send callers to this VM.
     pub fn is_ready(&self) -> bool {
-        !self.is_draining() && self.routes.load().version > 0
+        !self.is_draining() && self.routes.version() > 0
     }
 
     /// The time until the process exits at the latest; `None` unless the VM is draining.
--- a/src/vm/peers.rs
+++ b/src/vm/peers.rs
@@ -34,7 +34,7 @@
                 })
             }
             Call::Routes => {
-                let text = Vec::clone(&self.routes_text.load());
+                let text = Vec::clone(&self.routes.snapshot().text);
                 Box::pin(async move { Reply::Routes(text) })
             }
             other => {
@@ -134,7 +134,7 @@
         if !had_capacity && utilization.load.total_cpu > 0 {
             self.owners_changed.notify(usize::MAX);
         }
-        if utilization.routes > self.routes.load().version {
+        if utilization.routes > self.routes.version() {
             runtime::spawn(Arc::clone(self).fetch_routes(from)).detach();
         }
     }
