Fetch the configuration from one VM at a time

Cause: a VM asked for the whole configuration on every announcement of a newer version, at all that announced it at the same time. The replies are some hundred kilobytes with 1,400 routes; the heartbeats of the links wait behind them. The copies grow with the square of the number of VMs. A request whose link was not up yet was not made later.

Change: one task fetches, from one VM at a time, chosen at random among those that announced a newer version, after 200 to 400 ms in which the store may bring it; the next one after an empty reply, a lost link or 1 s. A VM sends the configuration to two others at a time and replies to the rest with nothing, as it could before. Replies share the text instead of copying it. New counter routes.fetched.

--- a/src/metrics/names.rs
+++ b/src/metrics/names.rs
@@ -84,6 +84,8 @@
         ConfigStale = "config.stale",
         /// Changes of the configuration that could not be applied.
         ConfigRefused = "config.refused",
+        /// Requests for the routes to other VMs.
+        RoutesFetched = "routes.fetched",
         /// Batches whose tasks all completed.
         BatchesDone = "batches.done",
         /// Batches with a task that failed as often as its queue allows.
--- a/src/serve/calls.rs
+++ b/src/serve/calls.rs
@@ -49,7 +49,7 @@
         }
         // This VM owns no leased targets.
         Call::Batch { .. } => Reply::Batch(batch::Outcome::Moved),
-        Call::Routes => Reply::Routes(Vec::new()),
+        Call::Routes => Reply::Routes(std::sync::Arc::default()),
     }
 }
 
--- a/src/vm/follow.rs
+++ b/src/vm/follow.rs
@@ -7,11 +7,9 @@
 
 use crate::clock::Millis;
 use crate::event;
-use crate::job::Incarnation;
 use crate::membership;
 use crate::metrics::Gauge;
 use crate::store::{Cursor, Decoder};
-use crate::wire::{Call, Reply};
 
 use super::adapter::Site;
 use super::node::Node;
@@ -122,14 +120,4 @@
         self.routes_applied_at.store(self.now().0, Ordering::Relaxed);
         self.metrics.set(Gauge::RoutesVersion, self.routes.version());
     }
-
-    /// Fetches the configuration from a VM that has a newer version.
-    pub(super) async fn fetch_routes(self: Arc<Self>, from: Incarnation) {
-        let Some(link) = self.links.get(from) else { return };
-        if let Ok(Reply::Routes(text)) = link.call(Call::Routes).await
-            && !text.is_empty()
-        {
-            self.apply_routes(&text, &link.hello.vm);
-        }
-    }
 }
--- a/src/vm/mod.rs
+++ b/src/vm/mod.rs
@@ -11,6 +11,7 @@
 mod meter;
 mod node;
 mod peers;
+mod routes;
 mod start;
 mod status;
 mod stop;
--- a/src/vm/node.rs
+++ b/src/vm/node.rs
@@ -105,6 +105,8 @@
     pub(super) next_batch_number: AtomicU64,
     /// Notified when a waiting batch may find an owner.
     pub(super) owners_changed: Signal,
+    /// Notified when another VM may have announced newer routes.
+    pub(super) routes_announced: Signal,
     ticker_wakeup: Signal,
     /// The time of the next tick, in milliseconds of the clock.
     next_tick: AtomicU64,
@@ -161,6 +163,7 @@
             drain_began_at: AtomicU64::new(0),
             next_batch_number: AtomicU64::new(1),
             owners_changed: Signal::new(),
+            routes_announced: Signal::new(),
             ticker_wakeup: Signal::new(),
             next_tick: AtomicU64::new(0),
             settings,
--- a/src/vm/peers.rs
+++ b/src/vm/peers.rs
@@ -8,7 +8,6 @@
 use crate::event;
 use crate::job::Incarnation;
 use crate::peer::{Handler, Link};
-use crate::runtime;
 use crate::wire::{Call, Notification, Ownership, Reply, Utilization};
 
 use super::core::PeerLoad;
@@ -34,12 +33,12 @@
                 })
             }
             Call::Routes => {
-                let text = Vec::clone(&self.routes.snapshot().text);
-                Box::pin(async move { Reply::Routes(text) })
+                let reply = self.routes_reply();
+                Box::pin(async move { reply })
             }
             other => {
                 event!(warn, "call-ignored", call = format!("{other:?}"));
-                Box::pin(async move { Reply::Routes(Vec::new()) })
+                Box::pin(async move { Reply::Routes(Arc::default()) })
             }
         }
     }
@@ -68,6 +67,7 @@
     }
 
     fn links_changed(self: Arc<Self>) {
+        self.notice_routes();
         self.owners_changed.notify(usize::MAX);
         self.update_ownership();
     }
@@ -135,7 +135,7 @@
             self.owners_changed.notify(usize::MAX);
         }
         if utilization.routes > self.routes.version() {
-            runtime::spawn(Arc::clone(self).fetch_routes(from)).detach();
+            self.notice_routes();
         }
     }
 }
--- a/src/wire/frame.rs
+++ b/src/wire/frame.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
@@ -174,8 +175,8 @@
     View(View),
     /// The result of `Batch`.
     Batch(batch::Outcome),
-    /// The result of `Routes`: the text from the platform, unparsed; empty if the VM has none.
-    Routes(Vec<u8>),
+    /// The result of `Routes`: the text from the platform, unparsed; empty if the VM has none, or sends it to others now.
+    Routes(Arc<Vec<u8>>),
 }
 
 /// A message that has no reply.
--- a/tests/partial.rs
+++ b/tests/partial.rs
@@ -12,6 +12,9 @@
 /// The time within which a VM that the store does not serve gets a new configuration from the other VMs.
 const CONFIG_DELAY_MAX: Duration = Duration::from_secs(2);
 
+/// The largest size of a route in a frame between VMs, in bytes.
+const ROUTE_BYTES_MAX: u64 = 400;
+
 /// The time within which a new VM owns the targets of a killed one. It includes the lease of the killed VM's
 /// registration.
 const TAKEOVER_MAX: Duration = Duration::from_secs(3);
@@ -65,6 +68,33 @@
     env.check();
 }
 
+/// Guards against VMs that ask every VM that announces a new version for the whole of it, at the same time.
+#[test]
+fn a_large_configuration_is_fetched_once_by_each_vm_without_the_store() {
+    const ROUTES: usize = 1400;
+    let env = Env::start(4, 1);
+    env.wait_for_stable_ownership();
+    for proxy in &env.store_proxies[1..] {
+        proxy.freeze(Way::Up, true);
+    }
+    thread::sleep(Duration::from_secs(2));
+    let sent = || (0..8).map(|vm| env.metric(vm, "peers.control_bytes")).sum::<u64>();
+    let before = sent();
+    let prefixes = (0..ROUTES).map(|route| format!("/queue-{route}/")).collect::<Vec<_>>();
+    env.configure_routes(2, &prefixes);
+    let start = Instant::now();
+    wait_until("all VMs know the last queue", || {
+        let last = prefixes.last().unwrap();
+        (0..8).all(|vm| env.get(vm, last).is_some_and(|(status, _)| status == 200))
+    });
+    let took = start.elapsed();
+    let sent = sent() - before;
+    println!("{sent} bytes in {took:?}");
+    assert!(sent < 7 * ROUTE_BYTES_MAX * ROUTES as u64 * 3 / 2, "{sent} bytes");
+    assert!(took < CONFIG_DELAY_MAX, "{took:?}");
+    env.check();
+}
+
 #[test]
 fn late_store_writes_do_no_harm() {
     let mut env = Env::start(2, 2);
--- a/tests/platform/mod.rs
+++ b/tests/platform/mod.rs
@@ -158,13 +158,22 @@
 
     /// Stores a configuration whose only queue is under `prefix`.
     pub fn configure(&self, version: u64, prefix: &str) {
+        self.configure_routes(version, &[prefix]);
+    }
+
+    /// Stores a configuration with a queue under each prefix.
+    pub fn configure_routes(&self, version: u64, prefixes: &[impl AsRef<str>]) {
+        let route = |prefix: &str| {
+            json!({ "name": format!("holds{prefix}"), "host": HOST, "prefix": prefix, "kind": "unsafe",
+                "timeoutMs": 5000, "sloMs": 500, "priority": 0, "service": "desk", "attempts": 3,
+                "stretch": 2.0 })
+        };
+        let routes = prefixes.iter().map(|prefix| route(prefix.as_ref())).collect::<Vec<_>>();
         self.store.put(
             "op/config",
             &json!({
                 "version": version,
-                "routes": [{ "name": "holds", "host": HOST, "prefix": prefix, "kind": "unsafe",
-                    "timeoutMs": 5000, "sloMs": 500, "priority": 0, "service": "desk", "attempts": 3,
-                    "stretch": 2.0 }],
+                "routes": routes,
                 "services": [{ "name": "desk", "healthPath": "/healthz", "maxConns": 64,
                     "protocol": "h1", "tls": false, "rejectsOverload": false, "spare": false }],
                 "limits": { "maxHeaderBytes": 16384, "maxBodyBytes": 262_144,
