--- a/src/vm/follow.rs
+++ b/src/vm/follow.rs
@@ -7,11 +7,9 @@
 
 use crate::clock::Millis;
 use crate::event;
-use crate::job::Incarnation;
 use crate::membership;
-use crate::metrics::{Counter, Gauge};
+use crate::metrics::Gauge;
 use crate::store::{Cursor, Decoder};
-use crate::wire::{Call, Reply};
 
 use super::adapter::Site;
 use super::node::Node;
@@ -110,35 +108,18 @@
                 return;
             }
         };
-        let version = table.version;
-        let current = self.routes.load();
-        if version <= current.version {
-            return;
-        }
+        let (version, count) = (table.version, table.len());
+        let Some(previous) = self.routes.offer(table, text) else { return };
         event!(
             info,
             "routes-applied",
             version = version,
-            was = current.version,
+            was = previous,
             source = source,
             read_age_ms = self.age(&self.routes_read_at).0,
-            routes = table.len()
+            routes = count
         );
-        self.routes_text.store(Arc::new(text.to_vec()));
-        self.routes.store(Arc::new(table));
         self.routes_applied_at.store(self.now().0, Ordering::Relaxed);
-        self.metrics.set(Gauge::RoutesVersion, version);
-    }
-
-    /// Fetches the configuration from a VM that has a newer version.
-    pub(super) async fn fetch_routes(self: Arc<Self>, from: Incarnation) {
-        let Some(link) = self.links.get(from) else { return };
-        self.metrics.count(Counter::RoutesFetches);
-        if let Ok(Reply::Routes(text)) = link.call(Call::Routes).await
-            && !text.is_empty()
-        {
-            self.metrics.add(Counter::RoutesFetchedBytes, text.len() as u64);
-            self.apply_routes(&text, &link.hello.vm);
-        }
+        self.metrics.set(Gauge::RoutesVersion, self.routes.version());
     }
 }
--- a/src/vm/mod.rs
+++ b/src/vm/mod.rs
@@ -12,6 +12,7 @@
 mod node;
 mod peers;
 mod round;
+mod routes;
 mod start;
 mod status;
 mod stop;
--- a/src/vm/node.rs
+++ b/src/vm/node.rs
@@ -18,7 +18,7 @@
 use crate::metrics::{Counter, Metrics, Timer as Timing};
 use crate::ownership::{self, Ownership, Peer, Presence, Quota};
 use crate::peer::Links;
-use crate::route::Table;
+use crate::route::{Holder, Table};
 use crate::schedule::{BatchId, Engine, Event, Loss, Rules};
 use crate::settings::Lease;
 use crate::store::Store;
@@ -94,15 +94,13 @@
     pub(super) targets: Mutex<HashMap<Arc<str>, Target>>,
     /// The racks and failure domains of the listed targets.
     pub(super) topology: ArcSwap<Topology>,
-    pub(super) routes: ArcSwap<Table>,
+    pub(super) routes: Holder,
     /// When the routes came into force, in milliseconds of the clock.
     pub(super) routes_applied_at: AtomicU64,
     /// When the store last answered a read of the routes, in milliseconds of the clock.
     pub(super) routes_read_at: AtomicU64,
     /// When the list of targets was last read, in milliseconds of the clock.
     pub(super) targets_read_at: AtomicU64,
-    /// The encoded configuration that the routes were decoded from.
-    pub(super) routes_text: ArcSwap<Vec<u8>>,
     /// Addresses of VMs that refuse connections.
     pub(super) refused: Mutex<BTreeSet<SocketAddr>>,
     /// Forwarded batches to abandon because their links have ended.
@@ -115,6 +113,8 @@
     pub(super) round_is_known: AtomicBool,
     /// Notified when a waiting batch may find an owner.
     pub(super) owners_changed: Signal,
+    /// Notified when another VM may have announced newer routes.
+    pub(super) routes_announced: Signal,
     ticker_wakeup: Signal,
     /// The time of the next tick, in milliseconds of the clock.
     next_tick: AtomicU64,
@@ -162,11 +162,10 @@
             core: Mutex::new(Core::new(engine, ownership, clock)),
             targets: Mutex::default(),
             topology: ArcSwap::default(),
-            routes: ArcSwap::default(),
+            routes: Holder::default(),
             routes_applied_at: AtomicU64::new(0),
             routes_read_at: AtomicU64::new(0),
             targets_read_at: AtomicU64::new(0),
-            routes_text: ArcSwap::default(),
             refused: Mutex::default(),
             abandoned: Mutex::default(),
             draining: AtomicBool::new(false),
@@ -174,6 +173,7 @@
             next_batch_number: AtomicU64::new(1),
             round_is_known: AtomicBool::new(false),
             owners_changed: Signal::new(),
+            routes_announced: Signal::new(),
             ticker_wakeup: Signal::new(),
             next_tick: AtomicU64::new(0),
             settings,
@@ -192,7 +192,7 @@
 
     /// The routes in force.
     pub fn routes(&self) -> Arc<Table> {
-        self.routes.load_full()
+        self.routes.table()
     }
 
     /// Whether the VM is draining.
@@ -202,7 +202,7 @@
 
     /// Whether the platform should send callers to this VM.
     pub fn is_ready(&self) -> bool {
-        !self.is_draining() && self.routes.load().version > 0
+        !self.is_draining() && self.routes.version() > 0
     }
 
     /// The time until the process exits at the latest; `None` unless the VM is draining.
--- a/src/vm/peers.rs
+++ b/src/vm/peers.rs
@@ -8,7 +8,6 @@
 use crate::event;
 use crate::job::Incarnation;
 use crate::peer::{Handler, Link};
-use crate::runtime;
 use crate::wire::{Call, Notification, Ownership, Reply, Utilization};
 
 use super::core::{Forwarder, Origin, PeerLoad};
@@ -33,12 +32,12 @@
                 })
             }
             Call::Routes => {
-                let text = Vec::clone(&self.routes_text.load());
-                Box::pin(async move { Reply::Routes(text) })
+                let reply = self.routes_reply();
+                Box::pin(async move { reply })
             }
             other => {
                 event!(warn, "call-ignored", call = format!("{other:?}"));
-                Box::pin(async move { Reply::Routes(Vec::new()) })
+                Box::pin(async move { Reply::Routes(Arc::default()) })
             }
         }
     }
@@ -67,6 +66,7 @@
     }
 
     fn links_changed(self: Arc<Self>) {
+        self.notice_routes();
         self.owners_changed.notify(usize::MAX);
         self.update_ownership();
     }
@@ -138,8 +138,8 @@
         if !had_capacity && utilization.load.total_cpu > 0 {
             self.owners_changed.notify(usize::MAX);
         }
-        if utilization.routes > self.routes.load().version {
-            runtime::spawn(Arc::clone(self).fetch_routes(from)).detach();
+        if utilization.routes > self.routes.version() {
+            self.notice_routes();
         }
     }
 }
