Let no input end the process by a panic of a library

Cause: http-types panics on a header value in text beyond ASCII, in requests, responses and trailers, and any panic ends the process.

Change: bytes above 127 in header values are replaced before the library reads them; in headers that are needed they are refused with 400. A panic of a library that parses what came from outside costs the connection and is logged as input-unparsed. Any other panic and any invariant still ends the process.

--- a/src/config/fetch.rs
+++ b/src/config/fetch.rs
@@ -5,6 +5,7 @@
 
 use futures_util::stream::{self, StreamExt as _, TryStreamExt as _};
 
+use crate::contain;
 use crate::store::{self, Entry, Store};
 
 use super::head::{self, Hash, Head, Reference, key};
@@ -67,7 +68,7 @@
         key: key.to_owned(),
         why: error.to_string(),
     };
-    serde_json::from_slice(value).map_err(unreadable)
+    contain::json(value).map_err(unreadable)
 }
 
 /// Reads a section's text and checks it against its hash; `None` for a removed section.
--- a/src/http/body.rs
+++ b/src/http/body.rs
@@ -9,6 +9,7 @@
 use smol::io::AsyncReadExt as _;
 
 use crate::clock::Millis;
+use crate::contain;
 
 /// Why the body of a request can't be used.
 #[derive(Debug)]
@@ -57,7 +58,9 @@
     let source = request.take_body();
     let mut body = Vec::with_capacity(declared.unwrap_or(0));
     let read = async {
-        source.take(max_bytes + 1).read_to_end(&mut body).await.map_err(BodyError::Unread)
+        let mut source = source.take(max_bytes + 1);
+        let read = contain::future(source.read_to_end(&mut body)).await;
+        read.unwrap_or_else(|panicked| Err(io::Error::other(panicked))).map_err(BodyError::Unread)
     };
     let expired = async {
         Timer::after(timeout.duration()).await;
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -14,6 +14,9 @@
 use socket2::{SockRef, TcpKeepalive};
 
 use crate::clock::Millis;
+use crate::contain;
+
+use super::limited::Limited;
 
 /// The idle time after which the operating system sends keep-alive probes, and the interval between them.
 const KEEPALIVE_INTERVAL: Millis = Millis(2000);
@@ -134,8 +137,11 @@
     /// path or header that HTTP can't carry fails with [`Error::Unsent`].
     pub async fn send(&mut self, request: &Request<'_>) -> Result<Response, Error> {
         let message = self.message(request).map_err(|error| Error::Unsent(error.to_string()))?;
-        let exchange =
-            async { self.exchange(message).await.map_err(|error| Error::Lost(error.to_string())) };
+        let exchange = async {
+            let exchange = contain::future(self.exchange(message)).await;
+            let response = exchange.map_err(|panicked| Error::Lost(panicked.to_string()))?;
+            response.map_err(|error| Error::Lost(error.to_string()))
+        };
         let expired = async {
             Timer::after(request.timeout.duration()).await;
             Err(Error::Lost(format!("no response within {}", request.timeout)))
@@ -173,7 +179,8 @@
     }
 
     async fn exchange(&self, message: http_types::Request) -> Result<Response, http_types::Error> {
-        let mut response = async_h1::connect(self.stream.clone(), message).await?;
+        let stream = Limited::new(self.stream.clone(), BODY_MAX_BYTES);
+        let mut response = async_h1::connect(stream, message).await?;
         let mut body = Vec::new();
         let source = response.take_body();
         let declared = source.len();
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -2,6 +2,8 @@
 
 mod body;
 mod client;
+mod limited;
+mod mask;
 mod pool;
 pub mod problem;
 pub mod server;
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -1,30 +1,27 @@
 //! The HTTP server for callers: one asynchronous task per connection, with limits on connections, times and bytes.
 
 use std::fmt;
-use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::task::{Context, Poll};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 
 use async_h1::server::{ConnectionStatus, Server};
 use event_listener::Event;
 use http_types::{Request, Response};
 use smol::Timer;
 use smol::future::{self, FutureExt as _};
-use smol::io::{AsyncRead, AsyncWrite, AsyncWriteExt as _};
+use smol::io::AsyncWriteExt as _;
 use smol::net::{TcpListener, TcpStream};
 
 use crate::accept;
 use crate::clock::Millis;
+use crate::contain;
 use crate::job::{Execution, Failure, Reason};
 use crate::runtime;
 
+use super::limited::Limited;
 use super::problem;
 
-/// Bytes that a request may have beyond twice the largest body: for its head and for the framing of chunks.
-const HEAD_MAX_BYTES: u64 = 64 << 10;
-
 /// How often a connection with unread bytes is checked for having been closed by the caller.
 const CLOSE_CHECK_INTERVAL: Millis = Millis(50);
 
@@ -132,7 +129,7 @@
     let has_request = Arc::new(AtomicBool::new(false));
     let must_close = Arc::new(AtomicBool::new(false));
     let has_failed = Arc::new(AtomicBool::new(false));
-    let limited = Limited { stream: stream.clone(), bytes_left: Arc::new(AtomicU64::new(0)) };
+    let limited = Limited::new(stream.clone(), handler.body_max());
     let request_started = Arc::new(Event::new());
     let endpoint = {
         let has_request = Arc::clone(&has_request);
@@ -151,7 +148,7 @@
             let has_failed = Arc::clone(&has_failed);
             let must_close = Arc::clone(&must_close);
             async move {
-                let response = response.await;
+                let response = contain::exempt(response).await;
                 let close = response.header("Connection").is_some_and(|value| value == "close");
                 must_close.store(close, Ordering::Relaxed);
                 has_failed.store(!response.status().is_success(), Ordering::Relaxed);
@@ -159,10 +156,9 @@
             }
         }
     };
-    let bytes_left = Arc::clone(&limited.bytes_left);
-    let mut server = Server::new(limited, endpoint);
+    let mut server = Server::new(limited.clone(), endpoint);
     loop {
-        bytes_left.store(HEAD_MAX_BYTES + 2 * handler.body_max(), Ordering::Relaxed);
+        limited.begin(handler.body_max());
         has_request.store(false, Ordering::Relaxed);
         has_failed.store(false, Ordering::Relaxed);
         let stalled = async {
@@ -185,7 +181,11 @@
             }
             Ok(ConnectionStatus::Close)
         };
-        let result = server.accept_one().or(stalled).or(abandoned).or(closed).await;
+        let accepted = async {
+            let accepted = contain::future(server.accept_one()).await;
+            accepted.unwrap_or_else(|panicked| Err(http_types::Error::new(400, panicked)))
+        };
+        let result = accepted.or(stalled).or(abandoned).or(closed).await;
         if has_request.load(Ordering::Relaxed) {
             traffic.busy.fetch_sub(1, Ordering::Relaxed);
         }
@@ -233,47 +233,3 @@
     drop(stream.write_all(&problem::raw(&failure)).await);
     drop(stream.shutdown(std::net::Shutdown::Both));
 }
-
-/// A stream that fails once a sender has sent more bytes than a request may have.
-#[derive(Clone, Debug)]
-struct Limited {
-    stream: TcpStream,
-    bytes_left: Arc<AtomicU64>,
-}
-
-impl AsyncRead for Limited {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut [u8],
-    ) -> Poll<io::Result<usize>> {
-        let bytes_left = self.bytes_left.load(Ordering::Relaxed);
-        if bytes_left == 0 {
-            return Poll::Ready(Err(io::Error::other("the request is too long")));
-        }
-        let length = buffer.len().min(usize::try_from(bytes_left).unwrap_or(usize::MAX));
-        let read = Pin::new(&mut self.stream).poll_read(context, &mut buffer[..length]);
-        if let Poll::Ready(Ok(bytes)) = &read {
-            self.bytes_left.fetch_sub(*bytes as u64, Ordering::Relaxed);
-        }
-        read
-    }
-}
-
-impl AsyncWrite for Limited {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
-    }
-
-    fn poll_close(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_close(context)
-    }
-}
--- a/src/job/spec.rs
+++ b/src/job/spec.rs
@@ -8,6 +8,7 @@
 use sha2::{Digest, Sha256};
 
 use crate::clock::Millis;
+use crate::contain;
 
 /// A digest of a [`Spec`], which tells a resubmission from a different job under the same key.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
@@ -61,7 +62,7 @@
     /// timeout is zero, or there are no tasks or more than `tasks_max`.
     pub fn parse(body: &[u8], tasks_max: usize) -> Result<Self, SpecError> {
         let body: Body<'_> =
-            serde_json::from_slice(body).map_err(|error| SpecError::Json(error.to_string()))?;
+            contain::json(body).map_err(|error| SpecError::Json(error.to_string()))?;
         if body.tasks.is_empty() {
             return Err(SpecError::Empty);
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod clock;
 pub mod config;
 pub mod configure;
+pub mod contain;
 pub mod dispatch;
 pub mod exit;
 pub mod http;
--- a/src/membership/claim.rs
+++ b/src/membership/claim.rs
@@ -6,6 +6,7 @@
 use sha2::{Digest as _, Sha256};
 
 use crate::clock::Millis;
+use crate::contain;
 use crate::job::Prefix;
 use crate::store::{self, Condition, Entry, Store};
 
@@ -98,7 +99,7 @@
 }
 
 fn parse(entry: &Entry) -> Result<Prefix, Error> {
-    let claim = serde_json::from_slice::<Claim>(&entry.value);
+    let claim = contain::json::<Claim>(&entry.value);
     let unreadable = |error: serde_json::Error| {
         store::Error::Unreadable(format!("claim {}: {error}", entry.key))
     };
--- a/src/membership/closed.rs
+++ b/src/membership/closed.rs
@@ -8,6 +8,7 @@
 use smol::Timer;
 
 use crate::clock::Millis;
+use crate::contain;
 use crate::event;
 use crate::job::{Closing, Incarnation, Key, Mark};
 use crate::store::{Error, Store};
@@ -118,7 +119,7 @@
 pub async fn lookup(store: &dyn Store, prefix: &str, key: &Key) -> Result<Lookup, Error> {
     let base = format!("{prefix}/closed/{}", key.prefix.incarnation);
     let Some(head) = store.get(&base).await? else { return Ok(Lookup::NoRecord) };
-    let head = serde_json::from_slice::<Head>(&head.value);
+    let head = contain::json::<Head>(&head.value);
     let head =
         head.map_err(|error| Error::Unreadable(format!("closing record {base}: {error}")))?;
     if key.prefix.window < head.oldest {
--- a/src/membership/follow.rs
+++ b/src/membership/follow.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::clock::{Clock, Millis};
+use crate::contain;
 use crate::event;
 use crate::store::{Cursor, Decoder, Entry, Error, Index, Read, Store, Vm};
 
@@ -75,7 +76,7 @@
 }
 
 fn parse_registration(entry: &Entry) -> Option<Registration> {
-    let registration = serde_json::from_slice(&entry.value);
+    let registration = contain::json(&entry.value);
     if let Err(error) = &registration {
         event!(warn, "registration-unreadable", key = entry.key, reason = error);
     }
--- a/src/peer/socket.rs
+++ b/src/peer/socket.rs
@@ -13,6 +13,7 @@
 use smol::channel::Receiver;
 use smol::net::TcpStream;
 
+use crate::contain;
 use crate::wire::{FRAME_MAX_BYTES, Frame};
 
 use super::volume::Volume;
@@ -80,14 +81,15 @@
 pub async fn dial(stream: TcpStream, volume: Arc<Volume>) -> Result<(Sink, Source), LinkError> {
     let address = stream.peer_addr().map_err(link_error)?;
     let url = format!("ws://{address}/");
-    let (socket, _) =
-        client_async_with_config(url, stream, Some(config())).await.map_err(link_error)?;
+    let handshake = contain::future(client_async_with_config(url, stream, Some(config()))).await;
+    let (socket, _) = handshake.map_err(link_error)?.map_err(link_error)?;
     Ok(split(socket, volume))
 }
 
 /// Performs the WebSocket handshake on a connection that was accepted.
 pub async fn accept(stream: TcpStream, volume: Arc<Volume>) -> Result<(Sink, Source), LinkError> {
-    let socket = accept_async_with_config(stream, Some(config())).await.map_err(link_error)?;
+    let handshake = contain::future(accept_async_with_config(stream, Some(config()))).await;
+    let socket = handshake.map_err(link_error)?.map_err(link_error)?;
     Ok(split(socket, volume))
 }
 
@@ -100,8 +102,8 @@
     /// Receives the next frame. Fails if the link is closed or a message is not a valid frame.
     pub async fn next(&mut self) -> Result<Frame, LinkError> {
         loop {
-            let message =
-                self.0.next().await.ok_or_else(|| link_error("the peer closed the link"))?;
+            let message = contain::future(self.0.next()).await.map_err(link_error)?;
+            let message = message.ok_or_else(|| link_error("the peer closed the link"))?;
             match message.map_err(link_error)? {
                 Message::Binary(bytes) => return Frame::decode(&bytes).map_err(link_error),
                 Message::Ping(_) | Message::Pong(_) => {}
--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -6,6 +6,7 @@
 
 use crate::batch::Terms;
 use crate::clock::Millis;
+use crate::contain;
 use crate::route::{Route, Table};
 
 /// The stretch factor of a queue whose entry has none.
@@ -59,7 +60,7 @@
 
 /// Decodes a configuration from JSON.
 pub fn decode(text: &[u8]) -> Result<Table, serde_json::Error> {
-    let document = serde_json::from_slice::<Document>(text)?;
+    let document = contain::json::<Document>(text)?;
     let routes = document.routes.into_iter().map(Route::from);
     Ok(Table::new(document.version, document.limits.max_body_bytes, routes))
 }
--- a/src/platform/kv/item.rs
+++ b/src/platform/kv/item.rs
@@ -8,6 +8,7 @@
 use serde::Deserialize;
 use serde_json::value::RawValue;
 
+use crate::contain;
 use crate::event;
 use crate::store::{Entry, Error, Index};
 
@@ -75,7 +76,7 @@
                 Some(key)
             }
             Err(reason) => {
-                let key = serde_json::from_str::<KeyOnly<'_>>(raw.get()).ok();
+                let key = contain::json::<KeyOnly<'_>>(raw.get().as_bytes()).ok();
                 let key = key.map(|item| item.key.into_owned());
                 let shown = key.as_deref().unwrap_or("?");
                 event!(warn, "item-unreadable", key = shown, reason = reason);
@@ -98,7 +99,7 @@
 /// The error says why the item is unreadable.
 fn decode(raw: &RawValue) -> Result<Change, Error> {
     let unreadable = |error: serde_json::Error| Error::Unreadable(error.to_string());
-    let item = serde_json::from_str::<Item<'_>>(raw.get()).map_err(unreadable)?;
+    let item = contain::json::<Item<'_>>(raw.get().as_bytes()).map_err(unreadable)?;
     if item.removed {
         return Ok(Change::Removed(item.key.into_owned()));
     }
--- a/src/platform/request.rs
+++ b/src/platform/request.rs
@@ -7,6 +7,7 @@
 
 use crate::batch::{self, Invalid, Resources, Spec};
 use crate::clock::Millis;
+use crate::contain;
 use crate::route::Route;
 
 #[derive(Debug, Deserialize)]
@@ -77,7 +78,7 @@
 
 /// Decodes the body of a job that a caller submitted as `id` on `route`.
 pub fn decode(id: &str, route: &Route, body: &[u8]) -> Result<Spec, Error> {
-    let job = serde_json::from_slice::<Job>(body).map_err(Error::Unreadable)?;
+    let job = contain::json::<Job>(body).map_err(Error::Unreadable)?;
     check(&job)?;
     let spec = Spec {
         id: Arc::from(id),
--- a/src/platform/worker.rs
+++ b/src/platform/worker.rs
@@ -10,6 +10,7 @@
 
 use crate::batch::{Name, Resources};
 use crate::clock::Millis;
+use crate::contain;
 use crate::event;
 use crate::http::{Error, Limits, Pool, Request, Response};
 use crate::schedule::{Action, Completion, Denial, Ending, Listing, Reply, Running, Snapshot};
@@ -121,8 +122,7 @@
 /// Decodes a worker's entry. The error says why the entry names no usable worker.
 pub fn decode(entry: &Entry) -> Result<Site, Unusable> {
     let id = id(&entry.key).ok_or(Unusable::Id)?;
-    let registration =
-        serde_json::from_slice::<Registration>(&entry.value).map_err(Unusable::Value)?;
+    let registration = contain::json::<Registration>(&entry.value).map_err(Unusable::Value)?;
     let Capacity { cpu, memory, gpu } = registration.capacity;
     if cpu.max(memory).max(gpu) > CAPACITY_MAX {
         return Err(Unusable::Capacity);
@@ -308,7 +308,7 @@
         let denial = denial(response.status, receipt.reason.as_deref());
         return Reply::Denied { denial, clock: receipt.clock };
     }
-    match serde_json::from_slice::<Report>(&response.body) {
+    match contain::json::<Report>(&response.body) {
         Ok(report) => poll_result(&report),
         Err(error) => {
             event!(warn, "hold-unreadable", reason = error);
@@ -339,7 +339,7 @@
     if response.body.is_empty() {
         return Receipt::default();
     }
-    serde_json::from_slice(&response.body).unwrap_or_else(|error| {
+    contain::json(&response.body).unwrap_or_else(|error| {
         event!(warn, "answer-unreadable", status = response.status, reason = error);
         Receipt::default()
     })
--- a/src/store/response.rs
+++ b/src/store/response.rs
@@ -2,6 +2,7 @@
 
 use serde::Deserialize;
 
+use crate::contain;
 use crate::http::Response;
 
 use super::Error;
@@ -12,5 +13,5 @@
         let text = String::from_utf8_lossy(&response.body).trim().to_owned();
         return Err(Error::Refused { status: response.status, text });
     }
-    serde_json::from_slice(&response.body).map_err(|error| Error::Unreadable(error.to_string()))
+    contain::json(&response.body).map_err(|error| Error::Unreadable(error.to_string()))
 }
--- a/src/target/attempt.rs
+++ b/src/target/attempt.rs
@@ -7,6 +7,7 @@
 use serde_json::value::RawValue;
 
 use crate::clock::Millis;
+use crate::contain;
 use crate::dispatch::{Attempt, Report};
 use crate::http::{Error, Request, Response};
 
@@ -112,7 +113,7 @@
 
 /// Checks that the body is JSON and returns it as the task's result.
 fn parse_result(address: SocketAddr, body: &[u8]) -> Report {
-    match serde_json::from_slice::<&RawValue>(body) {
+    match contain::json::<&RawValue>(body) {
         Ok(value) => Report::Done(Arc::from(value.get())),
         Err(error) => Report::Failed(format!(
             "the response of the target at {address} is not JSON: {error}; correct the target"
--- a/src/wire/frame.rs
+++ b/src/wire/frame.rs
@@ -8,6 +8,7 @@
 use crate::batch;
 use crate::clock::Millis;
 use crate::config::Update;
+use crate::contain;
 use crate::dispatch::{AttemptId, Delegation, DelegationId, Report, SlotMessage};
 use crate::job::{Incarnation, Key, Outcome, Spec};
 use crate::membership::{self, View};
@@ -260,7 +261,8 @@
             return Err(Error::TooLarge(bytes.len()));
         }
         let mut remaining = bytes;
-        let frame = ciborium::from_reader(&mut remaining)
+        let frame = contain::call(|| ciborium::from_reader(&mut remaining))
+            .map_err(|panicked| Error::Decode(panicked.to_string()))?
             .map_err(|error| Error::Decode(error.to_string()))?;
         if !remaining.is_empty() {
             return Err(Error::Decode(format!("{} bytes follow the frame", remaining.len())));
--- a/tests/cases/mod.rs
+++ b/tests/cases/mod.rs
@@ -2,6 +2,10 @@
 
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+use std::io::{Read as _, Write as _};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::time::Duration;
+
 use arbtest::arbitrary::{Result, Unstructured};
 use arbtest::arbtest;
 
@@ -95,3 +99,190 @@
     let length = bytes[start..].iter().take_while(|byte| byte.is_ascii_digit()).count();
     bytes.splice(start..start + length, number.bytes());
 }
+
+/// Bytes 0 to 255, up to `max` of them, or a character beyond ASCII in UTF-8.
+pub fn any_bytes(u: &mut Unstructured<'_>, max: usize) -> Result<Vec<u8>> {
+    if u.ratio(1, 4)? {
+        return Ok(u.choose(&["\u{fa}", "\u{20ac}", "\u{1f3ee}"])?.as_bytes().to_vec());
+    }
+    let length = u.int_in_range(0..=max)?;
+    (0..length).map(|_| u.arbitrary()).collect()
+}
+
+/// A message of HTTP/1.1 in parts.
+pub type Parts<'a> = &'a [&'a str];
+
+/// A request with a body of a declared length.
+pub const SIZED_REQUEST: Parts<'static> = &[
+    "POST",
+    " ",
+    "/holds/0000000000000009",
+    " ",
+    "HTTP/1.1",
+    "\r\n",
+    "Host",
+    ": ",
+    "desk.example",
+    "\r\n",
+    "Deadline-Ms",
+    ": ",
+    "200",
+    "\r\n",
+    "Content-Length",
+    ": ",
+    "2",
+    "\r\n",
+    "Expect",
+    ":",
+    "",
+    "\r\n",
+    "\r\n",
+    "{}",
+];
+
+/// A request with a body in chunks, and trailers.
+pub const CHUNKED_REQUEST: Parts<'static> = &[
+    "POST",
+    " ",
+    "/holds/0000000000000009",
+    " ",
+    "HTTP/1.1",
+    "\r\n",
+    "Host",
+    ": ",
+    "desk.example",
+    "\r\n",
+    "Transfer-Encoding",
+    ": ",
+    "chunked",
+    "\r\n",
+    "\r\n",
+    "2",
+    "",
+    "\r\n",
+    "{}",
+    "\r\n",
+    "0",
+    "\r\n",
+    "Digest",
+    ": ",
+    "none",
+    "\r\n",
+    "\r\n",
+];
+
+/// The start of a link between VMs.
+pub const HANDSHAKE: Parts<'static> = &[
+    "GET",
+    " ",
+    "/",
+    " ",
+    "HTTP/1.1",
+    "\r\n",
+    "Host",
+    ": ",
+    "127.0.0.1",
+    "\r\n",
+    "Upgrade",
+    ": ",
+    "websocket",
+    "\r\n",
+    "Connection",
+    ": ",
+    "Upgrade",
+    "\r\n",
+    "Sec-WebSocket-Key",
+    ": ",
+    "dGhlIHNhbXBsZSBub25jZQ==",
+    "\r\n",
+    "Sec-WebSocket-Version",
+    ": ",
+    "13",
+    "\r\n",
+    "\r\n",
+    "\u{2}\u{0}",
+];
+
+/// A response with a body of a declared length.
+pub const SIZED_RESPONSE: Parts<'static> = &[
+    "HTTP/1.1",
+    " ",
+    "200",
+    " ",
+    "OK",
+    "\r\n",
+    "Date",
+    ": ",
+    "none",
+    "\r\n",
+    "Content-Length",
+    ": ",
+    "2",
+    "\r\n",
+    "X-Consul-Index",
+    ": ",
+    "7",
+    "\r\n",
+    "\r\n",
+    "{}",
+];
+
+/// A response with a body in chunks, and trailers.
+pub const CHUNKED_RESPONSE: Parts<'static> = &[
+    "HTTP/1.1",
+    " ",
+    "200",
+    " ",
+    "OK",
+    "\r\n",
+    "Transfer-Encoding",
+    ": ",
+    "chunked",
+    "\r\n",
+    "\r\n",
+    "2",
+    "",
+    "\r\n",
+    "{}",
+    "\r\n",
+    "0",
+    "\r\n",
+    "Digest",
+    ": ",
+    "none",
+    "\r\n",
+    "\r\n",
+];
+
+/// The message with any bytes 0 to 255 in place of, or within, one or two parts.
+pub fn spoil(u: &mut Unstructured<'_>, message: Parts<'_>) -> Result<Vec<u8>> {
+    let mut parts = message.iter().map(|part| part.as_bytes().to_vec()).collect::<Vec<_>>();
+    for _ in 0..u.int_in_range(1..=2)? {
+        let index = u.choose_index(parts.len())?;
+        let part = &mut parts[index];
+        let at = u.int_in_range(0..=part.len())?;
+        let end = if u.ratio(1, 2)? { at } else { part.len() };
+        let bytes = any_bytes(u, 6)?;
+        part.splice(at..end, bytes);
+    }
+    Ok(parts.concat())
+}
+
+/// The message without what follows each of its bytes.
+pub fn truncations(message: Parts<'_>) -> impl Iterator<Item = Vec<u8>> {
+    let whole = message.concat().into_bytes();
+    (0..whole.len()).map(move |length| whole[..length].to_vec())
+}
+
+/// Sends bytes to a service, and reads what it responds within `wait`, at most one buffer.
+pub fn exchange(address: SocketAddr, bytes: &[u8], is_cut: bool, wait: Duration) -> Vec<u8> {
+    let Ok(mut stream) = TcpStream::connect(address) else { return Vec::new() };
+    stream.set_read_timeout(Some(wait)).expect("the timeout can be set");
+    drop(stream.write_all(bytes));
+    if is_cut {
+        drop(stream.shutdown(Shutdown::Write));
+    }
+    let mut response = [0; 512];
+    let length = stream.read(&mut response).unwrap_or(0);
+    response[..length].to_vec()
+}
--- a/tests/decoders.rs
+++ b/tests/decoders.rs
@@ -7,21 +7,30 @@
 mod platform;
 
 use std::collections::BTreeSet;
+use std::io::{Read as _, Write as _};
+use std::net::{SocketAddr, TcpListener};
 use std::pin::Pin;
 use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
 
 use arbtest::arbitrary::{Result, Unstructured};
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
-use cases::{check_all, check_some, mangle};
+use cases::{
+    CHUNKED_REQUEST, CHUNKED_RESPONSE, HANDSHAKE, SIZED_REQUEST, SIZED_RESPONSE, any_bytes,
+    check_all, check_some, exchange, mangle, spoil, truncations,
+};
 use gypsumkeel::batch::Terms;
 use gypsumkeel::clock::Millis;
 use gypsumkeel::http::server::Handler;
+use gypsumkeel::http::{Connection, Request as Get};
 use gypsumkeel::platform::{JobError, Kv, Platform, decode_job};
 use gypsumkeel::route::Route;
 use gypsumkeel::schedule::{Action, Engine, Event, Reply, Rules};
-use gypsumkeel::store::{Entry, Store as _};
+use gypsumkeel::store::{Consul, Entry, Store};
 use gypsumkeel::vm::{Adapter as _, Site};
+use gypsumkeel::wire::Frame;
 use http_types::{Request, Response};
 use serde_json::{Value, json};
 
@@ -238,3 +247,129 @@
         Ok(())
     });
 }
+
+/// How long a test waits for the response to a request that may get none.
+const WAIT: Duration = Duration::from_millis(20);
+
+#[test]
+fn any_bytes_of_a_request_end_no_vm() {
+    let env = platform::Env::start(1, 1);
+    let ports = [(8161, SIZED_REQUEST), (8161, CHUNKED_REQUEST), (8167, CHUNKED_REQUEST)];
+    let more = [(9100, SIZED_REQUEST), (9100, CHUNKED_REQUEST), (8166, HANDSHAKE)];
+    let messages = [ports, more].concat();
+    let address = |port| SocketAddr::new(env.vms[0].ip, port);
+    for (port, message) in &messages {
+        for request in truncations(message) {
+            exchange(address(*port), &request, true, WAIT);
+        }
+        assert_eq!(env.vms[0].exit_status(), None, "after port {port}");
+    }
+    check_some(|u| {
+        let (port, message) = *u.choose(&messages)?;
+        let request = spoil(u, message)?;
+        exchange(address(port), &request, false, WAIT);
+        let shown = String::from_utf8_lossy(&request);
+        assert_eq!(env.vms[0].exit_status(), None, "after port {port}: {shown:?}");
+        Ok(())
+    });
+    let reply = env.submit(0, 1, 2, 20).expect("a response");
+    assert_eq!((reply.status, &*reply.state), (200, "done"));
+}
+
+/// A service that responds to each request with the same bytes, whatever they are.
+struct Raw {
+    address: SocketAddr,
+    response: Arc<Mutex<Vec<u8>>>,
+}
+
+impl Raw {
+    fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("bind a fake service");
+        let address = listener.local_addr().expect("an address");
+        let response = Arc::<Mutex<Vec<u8>>>::default();
+        let bytes = Arc::clone(&response);
+        thread::spawn(move || {
+            for stream in listener.incoming() {
+                let mut stream = stream.expect("a connection");
+                drop(stream.read(&mut [0; 4096]));
+                drop(stream.write_all(&bytes.lock().unwrap()));
+            }
+        });
+        Self { address, response }
+    }
+
+    fn respond_with(&self, bytes: Vec<u8>) {
+        *self.response.lock().unwrap() = bytes;
+    }
+
+    /// Makes the calls of all clients. Each gets a reply or an error.
+    fn call(&self) {
+        const TIMEOUT: Millis = Millis(20);
+        smol::block_on(async {
+            let mut connection = Connection::open(self.address, TIMEOUT).await.expect("a service");
+            drop(connection.send(&Get::get("/", TIMEOUT)).await);
+            let store: [Arc<dyn Store>; 2] =
+                [Arc::new(Kv::new(self.address)), Arc::new(Consul::new(self.address, TIMEOUT))];
+            for store in store {
+                drop(store.list("servers/", 9, TIMEOUT).await);
+            }
+            let client = Platform.client(&Site { address: self.address, ..site() });
+            let mut actions = Vec::new();
+            let acquire = Event::Acquire { target: Arc::from("w-1"), round: 0 };
+            engine().handle(Millis(1), acquire, &mut actions);
+            for action in actions.into_iter().filter(|action| id(action).is_some()) {
+                client.clone().call(action).await;
+            }
+        });
+    }
+}
+
+#[test]
+fn any_bytes_of_a_response_end_no_caller() {
+    let service = Raw::start();
+    for response in [SIZED_RESPONSE, CHUNKED_RESPONSE].into_iter().flat_map(truncations) {
+        service.respond_with(response);
+        service.call();
+    }
+    check_some(|u| {
+        let response = *u.choose(&[SIZED_RESPONSE, CHUNKED_RESPONSE])?;
+        service.respond_with(spoil(u, response)?);
+        service.call();
+        Ok(())
+    });
+}
+
+#[test]
+fn a_response_whose_header_has_any_bytes_is_read() {
+    let service = Raw::start();
+    let server = "HTTP/1.1 200 OK\r\nServer: N\u{fa}\u{f1}ez\r\nContent-Length: 2\r\n\r\n\u{fa}";
+    service.respond_with(server.as_bytes().to_vec());
+    let response = smol::block_on(async {
+        let mut connection = Connection::open(service.address, Millis(5000)).await.unwrap();
+        connection.send(&Get::get("/", Millis(5000))).await
+    });
+    let response = response.expect("a response");
+    assert_eq!((response.status, &*response.body), (200, "\u{fa}".as_bytes()));
+    assert_eq!(response.header("Server"), Some("N????ez"));
+}
+
+#[test]
+fn any_bytes_are_a_frame_or_refused() {
+    let hello = json!({ "Hello": { "version": 1, "vm": "x", "domain": "a",
+        "incarnation": "AAAAAAAAAAAAAAAAAAAAAQ", "peers": { "V4": [[127, 0, 0, 1], 7200] } } });
+    let mut sound = Vec::new();
+    ciborium::into_writer(&hello, &mut sound).unwrap();
+    Frame::decode(&sound).expect("a frame");
+    for length in 0..sound.len() {
+        Frame::decode(&sound[..length]).expect_err("no whole frame");
+    }
+    check_all(|u| {
+        let mut bytes = sound.clone();
+        let at = u.choose_index(bytes.len())?;
+        let end = u.int_in_range(at..=bytes.len())?;
+        bytes.splice(at..end, any_bytes(u, 12)?);
+        drop(Frame::decode(&bytes));
+        drop(Frame::decode(&any_bytes(u, 64)?));
+        Ok(())
+    });
+}
--- a/tests/http.rs
+++ b/tests/http.rs
@@ -1,11 +1,14 @@
 //! Callers that send invalid, oversized or slow requests get an error response, and other callers are still served.
 
+#[path = "cases/mod.rs"]
+mod cases;
 mod testenv;
 
 use std::io::{Read as _, Write as _};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
+use cases::{CHUNKED_REQUEST, SIZED_REQUEST, check_some, exchange, spoil, truncations};
 use serde_json::json;
 use testenv::{Env, Job, Setup, wait_until};
 
@@ -165,3 +168,34 @@
     assert!(slow.into_iter().all(|stream| !response(stream).starts_with("HTTP/1.1 200")));
     check_is_served(&env);
 }
+
+#[test]
+fn a_header_with_any_bytes_ends_no_vm() {
+    let env = start();
+    for name in ["Hotel N\u{fa}\u{f1}ez".as_bytes(), b"Hotel N\xfa\xf1ez"] {
+        let head = b"GET /healthz HTTP/1.1\r\nHost: x\r\nConnection: close\r\nUser-Agent: ";
+        let text = response(send(env.caller(0).entry, &[head, name, b"\r\n\r\n"].concat()));
+        assert!(text.starts_with("HTTP/1.1 200 "), "{text:?}");
+    }
+    let job = r#"{"service":"holds","tasks":[{"payload":1}]}"#;
+    let key = format!("{}.N\u{fa}\u{f1}ez", smol::block_on(env.keys(0)));
+    let text = response(send(env.caller(0).entry, &post(&key, job.len(), job)));
+    assert!(text.starts_with("HTTP/1.1 400 "), "{text:?}");
+    check_is_served(&env);
+}
+
+#[test]
+fn any_bytes_of_a_request_end_no_vm() {
+    const WAIT: Duration = Duration::from_millis(20);
+    let env = Env::start(&Setup { domains: &["a"], ..Setup::default() });
+    let entry = env.caller(0).entry;
+    for request in [SIZED_REQUEST, CHUNKED_REQUEST].into_iter().flat_map(truncations) {
+        exchange(entry, &request, true, WAIT);
+    }
+    check_some(|u| {
+        let request = *u.choose(&[SIZED_REQUEST, CHUNKED_REQUEST])?;
+        exchange(entry, &spoil(u, request)?, false, WAIT);
+        Ok(())
+    });
+    check_is_served(&env);
+}
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -1,8 +1,11 @@
 //! The program on the users' platform: real processes with a fake store and fake workers.
 
+#[path = "cases/mod.rs"]
+mod cases;
 #[path = "platform/mod.rs"]
 mod platform;
 
+use std::net::SocketAddr;
 use std::process::Command;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::thread;
@@ -532,3 +535,32 @@
         assert_eq!((reply.status, reply.retry_after), (503, true), "{reply:?}");
     });
 }
+
+/// Sends bytes to a port of a VM, and returns the first bytes of the response.
+fn exchange(env: &Env, vm: usize, port: u16, bytes: &[u8]) -> String {
+    let address = SocketAddr::new(env.vms[vm].ip, port);
+    String::from_utf8_lossy(&cases::exchange(address, bytes, false, LIMIT)).into_owned()
+}
+
+#[test]
+fn a_header_with_any_bytes_ends_no_vm() {
+    let env = Env::start(1, 2);
+    thread::scope(|scope| {
+        let other = scope.spawn(|| env.submit(0, 1, 2, 1500));
+        wait_until("a job runs", || env.workers.iter().any(|worker| worker.running() > 0));
+        for port in [8161, 8167, 9100] {
+            for name in ["Hotel N\u{fa}\u{f1}ez".as_bytes(), b"Hotel N\xfa\xf1ez"] {
+                let head = b"GET /holds/ HTTP/1.1\r\nHost: desk.example\r\nUser-Agent: ";
+                let request = [head, name, b"\r\n\r\n"].concat();
+                let response = exchange(&env, 0, port, &request);
+                assert!(response.starts_with("HTTP/1.1 200 "), "{port}: {response:?}");
+            }
+            let trailer = b"POST /holds/2 HTTP/1.1\r\nHost: desk.example\r\nTransfer-Encoding: chunked\r\n\r\n\
+                2\r\n{}\r\n0\r\nX: \xc3\xba\r\n\r\n";
+            exchange(&env, 0, port, trailer);
+            assert_eq!(env.vms[0].exit_status(), None, "after a trailer to port {port}");
+        }
+        assert_eq!(other.join().unwrap(), Some(done()));
+    });
+    env.check();
+}
