Notice silent connections to the store within the stable window

Cause: a silent watch was noticed after its wait (3 s) and the timeout of a call (1 s), and then came a pause of 0.5 to 1 s, for the target list also the pause between two reads. The platform leaves 3 s.

Change: waits of 1 s (configuration) and 0.5 s (targets); the first retry within 50 ms; no pause between two reads after a failed one; VMs without targets read the list every 1.2 s.

Tests (partial): the bound of silent_connections_to_the_store_are_replaced was 5 s, as measured; it is the platform's 3 s now, and the watches have just begun.

--- a/src/platform/kv/mod.rs
+++ b/src/platform/kv/mod.rs
@@ -20,7 +20,7 @@
 
 /// The timeout of a call, its wait not included. The store responds within milliseconds, or a few hundred when
 /// it is slow.
-const TIMEOUT: Millis = Millis(1000);
+pub const TIMEOUT: Millis = Millis(1000);
 
 /// The timeout for opening a connection.
 const CONNECT_TIMEOUT: Millis = Millis(400);
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -19,7 +19,7 @@
 use crate::vm::{self, Adapter, Client, Endpoints, Node, Site};
 
 use front::{Callers, Metrics, Readiness};
-pub use kv::Kv;
+pub use kv::{Kv, TIMEOUT as STORE_TIMEOUT};
 pub use request::{Error as JobError, decode as decode_job};
 pub use settings::{Fault, Settings};
 
--- a/src/store/cursor.rs
+++ b/src/store/cursor.rs
@@ -13,9 +13,12 @@
 /// VMs that watch the same keys, the first to see a change announces it to the others.
 pub const WATCH_WAIT: Millis = Millis::from_secs(10);
 
-/// The shortest pause after a read that failed or went back to an older index; up to as much jitter is added.
+/// The shortest pause after a read that failed again or went back to an older index; up to as much jitter is added.
 const PAUSE_MIN: Millis = Millis(500);
 
+/// The longest pause after a first failure, most of which concern one connection only. Shorter pauses are as likely.
+pub const FIRST_PAUSE_MAX: Millis = Millis(50);
+
 /// The index from which a loop watches the store, and whether its last read failed.
 #[derive(Debug)]
 pub struct Cursor {
@@ -35,8 +38,8 @@
         self.index
     }
 
-    /// Records the index that a read returned, or starts over at 0 after an error. Pauses after an error and
-    /// when the store went back to an older index.
+    /// Records the index that a read returned, or starts over at 0 after an error. Pauses after an error, at most
+    /// [`FIRST_PAUSE_MAX`] after a first one, and when the store went back to an older index.
     pub async fn advance<E: fmt::Display>(&mut self, result: Result<Index, E>) {
         match result {
             Ok(index) => {
@@ -47,22 +50,26 @@
                 let went_back = index < self.index;
                 self.index = index;
                 if went_back {
-                    pause().await;
+                    pause(PAUSE_MIN, PAUSE_MIN).await;
                 }
             }
             Err(error) => {
-                if !self.failing {
-                    event!(warn, "store-out", watch = self.what, reason = error);
-                }
+                let is_first = !self.failing;
                 self.failing = true;
                 self.index = 0;
-                pause().await;
+                if is_first {
+                    event!(warn, "store-out", watch = self.what, reason = error);
+                    pause(Millis::ZERO, FIRST_PAUSE_MAX).await;
+                } else {
+                    pause(PAUSE_MIN, PAUSE_MIN).await;
+                }
             }
         }
     }
 }
 
-async fn pause() {
-    let jitter = Millis(fastrand::u64(0..=PAUSE_MIN.0));
-    Timer::after((PAUSE_MIN + jitter).duration()).await;
+/// Waits for `least`, and up to `jitter_max` longer.
+async fn pause(least: Millis, jitter_max: Millis) {
+    let jitter = Millis(fastrand::u64(0..=jitter_max.0));
+    Timer::after((least + jitter).duration()).await;
 }
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -16,7 +16,7 @@
 
 pub use calls::{Calls, Counter};
 pub use consul::Consul;
-pub use cursor::{Cursor, WATCH_WAIT};
+pub use cursor::{Cursor, FIRST_PAUSE_MAX, WATCH_WAIT};
 pub use decoder::Decoder;
 pub use memory::Memory;
 pub use response::json;
--- a/src/vm/follow.rs
+++ b/src/vm/follow.rs
@@ -14,16 +14,22 @@
 use super::adapter::Site;
 use super::node::Node;
 
-/// The longest wait of a watch. A watch on a dead connection is repeated after this time, and a change must take
-/// effect within two to three seconds.
-const WATCH_WAIT: Millis = Millis(3000);
+/// The longest wait of a watch of the configuration. A watch on a connection that went silent is noticed only after
+/// this time and the timeout of a call.
+pub const ROUTES_WAIT: Millis = Millis(1000);
+
+/// The longest wait of a watch of the target list, like [`ROUTES_WAIT`].
+pub const TARGETS_WAIT: Millis = Millis(500);
+
+/// The longest wait of a watch of the registrations. Links show changes of the VMs sooner.
+const MEMBERS_WAIT: Millis = Millis(3000);
 
 /// The pause between two reads of the target list by a VM that owns targets. A target that starts to drain must get
 /// no more tasks two seconds later.
-const TARGETS_PAUSE_OWNER: Millis = Millis(900);
+pub const TARGETS_PAUSE_OWNER: Millis = Millis(900);
 
-/// The pause between two reads of the target list by a VM that owns no target.
-const TARGETS_PAUSE: Millis = Millis(2000);
+/// The pause between two reads of the target list by a VM that owns no target, which may become an owner at any time.
+pub const TARGETS_PAUSE: Millis = Millis(1200);
 
 impl Node {
     /// Watches the configuration until the process ends.
@@ -31,7 +37,7 @@
         let mut cursor = Cursor::new("routes");
         loop {
             let read =
-                self.store.watch(self.adapter.routes_key(), cursor.index(), WATCH_WAIT).await;
+                self.store.watch(self.adapter.routes_key(), cursor.index(), ROUTES_WAIT).await;
             let index = read.map(|read| {
                 if let Some(entry) = read.value.filter(|_| read.index != cursor.index()) {
                     self.apply_routes(&entry.value, "store");
@@ -53,7 +59,7 @@
         let mut decoder = Decoder::<Site>::default();
         loop {
             let prefix = self.adapter.targets_prefix();
-            let read = self.store.list(prefix, cursor.index(), WATCH_WAIT).await;
+            let read = self.store.list(prefix, cursor.index(), TARGETS_WAIT).await;
             let index = read.map(|read| {
                 let sites = decoder.decode(&read.value, |entry| self.adapter.decode_target(entry));
                 if sites != known {
@@ -63,8 +69,12 @@
                 self.targets_read_at.store(self.now().0, Ordering::Relaxed);
                 read.index
             });
-            self.record_store_status(index.is_ok());
+            let is_up = index.is_ok();
+            self.record_store_status(is_up);
             cursor.advance(index).await;
+            if !is_up {
+                continue;
+            }
             let pause = if self.lock().ownership.owned().is_empty() {
                 TARGETS_PAUSE
             } else {
@@ -81,7 +91,7 @@
     /// Watches the other VMs' registrations until the process ends.
     pub(super) async fn follow_members(self: Arc<Self>) {
         let prefix = &self.settings.prefix;
-        membership::watch_members(&self.membership, &*self.store, prefix, WATCH_WAIT).await;
+        membership::watch_members(&self.membership, &*self.store, prefix, MEMBERS_WAIT).await;
     }
 
     /// Dials new VMs and updates the ownership of targets after each change of the registrations.
--- a/src/vm/mod.rs
+++ b/src/vm/mod.rs
@@ -18,6 +18,7 @@
 mod submit;
 
 pub use adapter::{Adapter, CallFuture, Client, Site};
+pub use follow::{ROUTES_WAIT, TARGETS_PAUSE, TARGETS_PAUSE_OWNER, TARGETS_WAIT};
 pub use node::{Node, Settings};
 pub use start::{Endpoints, Error, run};
 pub use status::Status;
--- a/tests/partial.rs
+++ b/tests/partial.rs
@@ -7,11 +7,25 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use gypsumkeel::clock::Millis;
+use gypsumkeel::platform::STORE_TIMEOUT;
+use gypsumkeel::store::FIRST_PAUSE_MAX;
+use gypsumkeel::vm::{ROUTES_WAIT, TARGETS_PAUSE, TARGETS_PAUSE_OWNER, TARGETS_WAIT};
 use platform::{Env, Reply, Way, wait_until};
 
 /// The time within which a VM that the store does not serve gets a new configuration from the other VMs.
 const CONFIG_DELAY_MAX: Duration = Duration::from_secs(2);
 
+/// The time after the connections of all VMs went silent from which the platform's bounds hold again, if the change was
+/// acknowledged a second before its end or earlier.
+const STABLE_WINDOW: Millis = Millis(3000);
+
+/// The time in which a healthy store opens a connection and answers, and the VM applies the answer.
+const STORE_ANSWER_MAX: Millis = Millis(200);
+
+/// How long a task of the load runs at most, with its start.
+const TASK_MAX: Millis = Millis(150);
+
 /// The largest size of a route in a frame between VMs, in bytes.
 const ROUTE_BYTES_MAX: u64 = 400;
 
@@ -119,17 +133,62 @@
     env.check();
 }
 
+/// The longest time after open connections to the store went silent until a change is read over new ones, with a healthy
+/// store: the sum of the parts, the first of which is the pause between two reads.
+fn silence_max(pause: Millis, wait: Millis) -> Millis {
+    pause + wait + STORE_TIMEOUT + FIRST_PAUSE_MAX + STORE_ANSWER_MAX
+}
+
+#[test]
+fn silent_connections_to_the_store_are_noticed_within_the_stable_window() {
+    for bound in [
+        silence_max(Millis::ZERO, ROUTES_WAIT),
+        silence_max(TARGETS_PAUSE_OWNER, TARGETS_WAIT),
+        silence_max(TARGETS_PAUSE, TARGETS_WAIT),
+    ] {
+        assert!(bound <= STABLE_WINDOW, "{bound}");
+    }
+}
+
 #[test]
 fn silent_connections_to_the_store_are_replaced() {
     let env = Env::start(1, 2);
-    env.store_proxies.iter().for_each(|proxy| proxy.freeze_open(Way::Down, true));
     env.configure(2, "/second/");
-    // A watch takes up to three seconds, and its response is waited for a little longer.
+    let know = |prefix: &str| {
+        (0..2).all(|vm| env.get(vm, prefix).is_some_and(|(status, _)| status == 200))
+    };
+    wait_until("both VMs know the second queue", || know("/second/"));
+    // All watches have just begun.
+    let start = Instant::now();
+    env.store_proxies.iter().for_each(|proxy| proxy.freeze_open(Way::Down, true));
+    env.configure(3, "/third/");
+    wait_until("both VMs know the third queue", || know("/third/"));
+    assert!(start.elapsed() < STABLE_WINDOW.duration(), "{:?}", start.elapsed());
+    env.check();
+}
+
+#[test]
+fn a_worker_that_drains_while_connections_to_the_store_are_silent_gets_no_more_tasks() {
+    let env = Env::start(1, 2);
+    env.wait_for_stable_ownership();
+    let worker = &env.workers[0];
     let start = Instant::now();
-    wait_until("both VMs know the new queue", || {
-        (0..2).all(|vm| env.get(vm, "/second/").is_some_and(|(status, _)| status == 200))
+    env.store_proxies.iter().for_each(|proxy| proxy.freeze_open(Way::Down, true));
+    env.store.put(&format!("servers/{}", worker.id), &worker.entry("draining"));
+    let is_over = || start.elapsed() > STABLE_WINDOW.duration() + Duration::from_secs(2);
+    let (replies, last) = thread::scope(|scope| {
+        let load = scope.spawn(|| env.load(&[0, 1], 4, is_over));
+        let mut last = Duration::ZERO;
+        while !is_over() {
+            if worker.running() > 0 {
+                last = start.elapsed();
+            }
+            thread::sleep(Duration::from_millis(5));
+        }
+        (load.join().unwrap(), last)
     });
-    assert!(start.elapsed() < Duration::from_secs(5), "{:?}", start.elapsed());
+    assert!(replies.iter().all(|reply| is_done(reply.as_ref())), "{replies:?}");
+    assert!(last < (STABLE_WINDOW + TASK_MAX).duration(), "a task ran after {last:?}");
     env.check();
 }
 
