Cancel a job on the platform wherever its DELETE arrives

Cause: the platform's front answered each DELETE by 410 and never looked for the job, as no record of it remains once its POST is answered. While the POST waits, the job exists.

Change: a VM lists the batches whose callers wait there. A DELETE ends the batch like a caller that hangs up; the POST is answered 200 cancelled at once. A VM that doesn't know the batch asks the others on their links by the call Cancel that exists, so that releases can run side by side. If one doesn't answer within 1 s the DELETE gets 503, not a guess; otherwise 200 or 410.

Against the three new tests of tests/platform.rs failed: "left: Some( Reply { status: 410, state: "unknown" .. }) right: Some(Reply { status: 200, state: "cancelled" .. })", and 410 in place of 503 where a VM is frozen.

--- a/src/batch/outcome.rs
+++ b/src/batch/outcome.rs
@@ -24,6 +24,8 @@
     Moved,
     /// Tasks were started on this VM and none runs any longer; another VM may run the batch from its first step.
     Interrupted,
+    /// The batch was cancelled on request. None of its tasks starts any longer.
+    Cancelled,
     /// The caller's time ran out after tasks had been started. None runs any longer, or none will within one lease.
     Expired,
 }
@@ -67,6 +69,7 @@
             Self::Refused { reason, .. } => write!(f, "refused-{reason}"),
             Self::Moved => f.write_str("moved"),
             Self::Interrupted => f.write_str("interrupted"),
+            Self::Cancelled => f.write_str("cancelled"),
             Self::Expired => f.write_str("expired"),
         }
     }
--- a/src/metrics/names.rs
+++ b/src/metrics/names.rs
@@ -92,6 +92,8 @@
         BatchesExpired = "batches.expired",
         /// Batches that were refused with nothing started.
         BatchesRefused = "batches.refused",
+        /// Batches that were cancelled on request.
+        BatchesCancelled = "batches.cancelled",
         /// Batches whose caller disconnected before their end.
         BatchesAbandoned = "batches.abandoned",
         /// Times for which this VM stood still so long that the other VMs gave their links to it up.
--- a/src/platform/front.rs
+++ b/src/platform/front.rs
@@ -12,7 +12,7 @@
 use crate::http::read_body;
 use crate::http::server::{Caller, Handler};
 use crate::route::{Route, Table};
-use crate::vm::{Node, Wait};
+use crate::vm::{Cancellation, Node, Wait};
 
 use super::request;
 
@@ -25,6 +25,9 @@
 /// The server's limit for request bodies, in bytes, until routes with a higher one are known.
 const DEFAULT_BODY_MAX: u64 = 256 << 10;
 
+/// The time after which cancelling may be requested again if a VM did not tell whether it knows the job, in seconds.
+const CANCEL_RETRY_AFTER_S: u64 = 1;
+
 /// The path that `gypsumkeel status` requests, the same as on any other entry VM.
 const STATUS_PATH: &str = "/v1/status";
 
@@ -69,7 +72,8 @@
             json(StatusCode::Ok, &json!({ "pending": node.pending(&route.name) }))
         }
         // The response to a submission carries the outcome; no record of the job remains after it.
-        Method::Get | Method::Delete => state(StatusCode::Gone, "unknown"),
+        Method::Get => state(StatusCode::Gone, "unknown"),
+        Method::Delete => cancel(node, &route.name, &id).await,
         _ => state(StatusCode::MethodNotAllowed, "unknown"),
     }
 }
@@ -80,6 +84,21 @@
     Some((Arc::clone(route), id))
 }
 
+/// Cancels a job, at whichever VM it is.
+async fn cancel(node: &Arc<Node>, queue: &str, id: &str) -> Response {
+    let cancellation = node.cancel(queue, id).await;
+    event!(info, "cancel", job = id, queue = queue, result = cancellation);
+    match cancellation {
+        Cancellation::Cancelled => state(StatusCode::Ok, "cancelled"),
+        Cancellation::Unknown => state(StatusCode::Gone, "unknown"),
+        Cancellation::Uncertain => {
+            let mut response = state(StatusCode::ServiceUnavailable, "unknown");
+            response.insert_header("Retry-After", CANCEL_RETRY_AFTER_S.to_string());
+            response
+        }
+    }
+}
+
 async fn submit(
     node: &Arc<Node>,
     (route, version): (Arc<Route>, u64),
@@ -149,6 +168,7 @@
     match outcome {
         Outcome::Done => state(StatusCode::Ok, "done"),
         Outcome::Failed => state(StatusCode::Ok, "failed"),
+        Outcome::Cancelled => state(StatusCode::Ok, "cancelled"),
         Outcome::Refused { reason, retry_after } => {
             refuse(StatusCode::ServiceUnavailable, &reason.to_string(), id, *retry_after)
         }
--- a/src/vm/mod.rs
+++ b/src/vm/mod.rs
@@ -6,6 +6,7 @@
 mod adapter;
 mod announce;
 mod calls;
+mod cancel;
 mod core;
 mod follow;
 mod meter;
@@ -17,6 +18,7 @@
 mod submit;
 
 pub use adapter::{Adapter, CallFuture, Client, Site};
+pub use cancel::Cancellation;
 pub use node::{Node, Settings};
 pub use start::{Endpoints, Error, run};
 pub use status::Status;
--- a/src/vm/node.rs
+++ b/src/vm/node.rs
@@ -24,6 +24,7 @@
 use crate::store::Store;
 
 use super::adapter::{Adapter, Client, Site};
+use super::cancel::Cancellable;
 use super::core::{Core, Effects, Standstill};
 
 /// The longest time between two ticks.
@@ -101,6 +102,8 @@
     pub(super) refused: Mutex<BTreeSet<SocketAddr>>,
     /// Forwarded batches to abandon because their links have ended.
     pub(super) abandoned: Mutex<Vec<BatchId>>,
+    /// The batches whose callers wait here.
+    pub(super) cancellable: Cancellable,
     draining: AtomicBool,
     /// When the drain began, in milliseconds of the clock.
     drain_began_at: AtomicU64,
@@ -160,6 +163,7 @@
             routes_text: ArcSwap::default(),
             refused: Mutex::default(),
             abandoned: Mutex::default(),
+            cancellable: Cancellable::default(),
             draining: AtomicBool::new(false),
             drain_began_at: AtomicU64::new(0),
             next_batch_number: AtomicU64::new(1),
@@ -340,7 +344,7 @@
     }
 
     /// The other VMs that are registered or linked.
-    fn known_peers(&self) -> BTreeMap<Incarnation, Peer> {
+    pub(super) fn known_peers(&self) -> BTreeMap<Incarnation, Peer> {
         let (up, view) = (self.links.up(), self.membership.view());
         let refused = self.refused.lock().unwrap_or_else(PoisonError::into_inner);
         let mut peers = BTreeMap::new();
--- a/src/vm/peers.rs
+++ b/src/vm/peers.rs
@@ -9,7 +9,7 @@
 use crate::job::Incarnation;
 use crate::peer::{Handler, Link};
 use crate::runtime;
-use crate::wire::{Call, Notification, Ownership, Reply, Utilization};
+use crate::wire::{Call, KeyStatus, Notification, Ownership, Reply, Utilization};
 
 use super::core::PeerLoad;
 use super::node::Node;
@@ -37,6 +37,14 @@
                 let text = Vec::clone(&self.routes_text.load());
                 Box::pin(async move { Reply::Routes(text) })
             }
+            Call::Cancel { key } => Box::pin(async move {
+                let is_cancelled = self.cancellable.cancel(&key.suffix).await;
+                Reply::KeyStatus(if is_cancelled {
+                    KeyStatus::Cancelling
+                } else {
+                    KeyStatus::NeverSubmitted
+                })
+            }),
             other => {
                 event!(warn, "call-ignored", call = format!("{other:?}"));
                 Box::pin(async move { Reply::Routes(Vec::new()) })
--- a/src/vm/submit.rs
+++ b/src/vm/submit.rs
@@ -60,7 +60,7 @@
         let outcome = if self.may_outlast(&spec) {
             Outcome::Refused { reason: Refusal::Stopping, retry_after: RETRY_AFTER }
         } else {
-            self.route(&spec, wait).await
+            self.route_until_cancelled(&spec, wait).await
         };
         let took = self.now() - wait.received_at;
         self.metrics.time(Timing::Batch, took);
@@ -68,6 +68,7 @@
             Outcome::Done => Counter::BatchesDone,
             Outcome::Failed => Counter::BatchesFailed,
             Outcome::Expired => Counter::BatchesExpired,
+            Outcome::Cancelled => Counter::BatchesCancelled,
             _ => Counter::BatchesRefused,
         });
         outcome
@@ -80,6 +81,25 @@
         critical_path * CRITICAL_PATH_FACTOR + spec.terms.allowance > time_left
     }
 
+    /// Routes a batch until it has an outcome or is cancelled. What runs of it is abandoned before the cancelling is
+    /// confirmed.
+    async fn route_until_cancelled(self: &Arc<Self>, spec: &Arc<Spec>, wait: Wait) -> Outcome {
+        let number = self.next_batch_number.fetch_add(1, Ordering::Relaxed);
+        let entry = self.cancellable.register(&spec.queue, &spec.id, number);
+        let routed = async { Err(self.route(spec, wait).await) };
+        let cancelled = async { Ok(entry.requested().await) };
+        let result = routed.or(cancelled).await;
+        match result {
+            Err(outcome) => outcome,
+            Ok(confirmation) => {
+                if confirmation.try_send(()).is_err() {
+                    event!(debug, "cancel-unconfirmed", job = spec.id);
+                }
+                Outcome::Cancelled
+            }
+        }
+    }
+
     /// Routes a batch to one VM after another until one runs it, all are tried or the time is up.
     async fn route(self: &Arc<Self>, spec: &Arc<Spec>, wait: Wait) -> Outcome {
         let mut tried = BTreeSet::new();
@@ -105,7 +125,9 @@
                     tried.clear();
                 }
                 Outcome::Refused { .. } => refused = Some(outcome.clone()),
-                Outcome::Done | Outcome::Failed | Outcome::Expired => return outcome,
+                Outcome::Done | Outcome::Failed | Outcome::Expired | Outcome::Cancelled => {
+                    return outcome;
+                }
             }
             event!(
                 info,
--- a/src/wire/frame.rs
+++ b/src/wire/frame.rs
@@ -86,7 +86,7 @@
         /// The key of the job.
         key: Key,
     },
-    /// Cancels the job of a key that names the other VM.
+    /// Cancels the job of a key that names the other VM. For a batch, the rest of the key is the digest of its queue and id.
     Cancel {
         /// The key of the job.
         key: Key,
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -564,3 +564,98 @@
     });
     env.check();
 }
+
+/// The response to a cancelled job, and to the request that has cancelled it.
+fn cancelled() -> Reply {
+    Reply { status: 200, state: "cancelled".to_owned(), retry_after: false }
+}
+
+/// A job of steps of two tasks that take 7 cores for 5 s each.
+fn long_job(steps: u32) -> Value {
+    let step = |index: u32| {
+        let after = (0..index).collect::<Vec<_>>();
+        json!({ "count": 2, "cpu": 7000, "memMb": 64, "estMs": 5000, "after": after })
+    };
+    json!({ "spec": "7000 5000", "bestEffort": true, "steps": (0..steps).map(step).collect::<Vec<_>>() })
+}
+
+/// The number of tasks that run.
+fn running(env: &Env) -> usize {
+    env.workers.iter().map(platform::worker::Worker::running).sum()
+}
+
+/// The jobs come to an owner of targets and to a VM that passes them on; each is cancelled at each VM.
+#[test]
+fn a_cancelled_job_is_stopped_wherever_it_is_cancelled() {
+    const STOPPED_WITHIN: Duration = Duration::from_secs(3);
+    let env = Env::start(2, 2);
+    let mut id = 0;
+    for at in 0..4 {
+        for from in 0..4 {
+            id += 1;
+            thread::scope(|scope| {
+                let env = &env;
+                let job = scope.spawn(move || (post_long(env, at, id), Instant::now()));
+                wait_until("the job runs", || running(env) == 2);
+                let starts = *env.ledger.starts.lock().unwrap();
+                assert_eq!(env.delete(from, id), Some(cancelled()), "{at} {from}");
+                let acknowledged_at = Instant::now();
+                let (reply, answered_at) = job.join().unwrap();
+                assert_eq!(reply, Some(cancelled()), "{at} {from}");
+                assert!(answered_at < acknowledged_at + STOPPED_WITHIN);
+                wait_until("nothing runs", || running(env) == 0);
+                assert!(acknowledged_at.elapsed() < STOPPED_WITHIN);
+                assert_eq!(*env.ledger.starts.lock().unwrap(), starts, "a step started");
+            });
+            assert_eq!(env.delete(from, id).map(|reply| reply.status), Some(410));
+        }
+    }
+    assert_eq!(env.submit(0, 1 << 40, 4, 50), Some(done()));
+    env.check();
+}
+
+fn post_long(env: &Env, vm: usize, id: u64) -> Option<Reply> {
+    env.post(vm, id, &long_job(2), Millis(15_000))
+}
+
+#[test]
+fn a_job_that_waits_is_cancelled_and_others_go_on() {
+    let env = Env::start(2, 1);
+    // Two tasks of 7 cores fill the only worker of 16 cores that has the label.
+    let job = json!({ "spec": "7000 2000", "bestEffort": true, "steps": [{
+        "count": 2, "cpu": 7000, "memMb": 64, "estMs": 2000, "requiredLabel": "rack-a" }] });
+    thread::scope(|scope| {
+        let (env, job) = (&env, &job);
+        let first = scope.spawn(move || env.post(0, 1, job, Millis(15_000)));
+        wait_until("the worker is full", || running(env) == 2);
+        let waiting = scope.spawn(move || env.post(1, 2, job, Millis(15_000)));
+        let is_pending = |vm| env.get(vm, "/holds/") == Some((200, r#"{"pending":1}"#.to_owned()));
+        wait_until("the job waits", || (0..4).any(is_pending));
+        assert_eq!(env.delete(2, 2), Some(cancelled()));
+        assert_eq!(waiting.join().unwrap(), Some(cancelled()));
+        wait_until("nothing waits", || !(0..4).any(is_pending));
+        assert_eq!(first.join().unwrap(), Some(done()));
+    });
+    assert_eq!(*env.ledger.starts.lock().unwrap(), 2);
+    assert_eq!(env.delete(0, 1).map(|reply| reply.status), Some(410));
+    env.check();
+}
+
+#[test]
+fn cancelling_is_not_acknowledged_while_a_vm_does_not_answer() {
+    let env = Env::start(1, 1);
+    thread::scope(|scope| {
+        let job = scope.spawn(|| post_long(&env, 0, 1));
+        wait_until("the job runs", || running(&env) == 2);
+        env.vms[0].signal(Signal::STOP);
+        let reply = env.delete(1, 1).expect("a response");
+        env.vms[0].signal(Signal::CONT);
+        assert_eq!((reply.status, reply.retry_after), (503, true), "{reply:?}");
+        wait_until("the VM answers for the job again", || {
+            matches!(env.delete(1, 1), Some(Reply { status: 200 | 410, .. }))
+        });
+        assert_eq!(job.join().unwrap(), Some(cancelled()));
+    });
+    wait_until("nothing runs", || running(&env) == 0);
+    env.check();
+}
--- a/tests/platform/mod.rs
+++ b/tests/platform/mod.rs
@@ -309,6 +309,18 @@
         SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
     }
 
+    /// Cancels a job, and waits for the response.
+    pub fn delete(&self, index: usize, id: u64) -> Option<Reply> {
+        let headers = [("Host", HOST)];
+        let path = format!("{PREFIX}{id:016x}");
+        let get = Request::get(&path, Millis(5000));
+        let request = Request { method: Method::Delete, headers: &headers, ..get };
+        let (status, body, retry_after) = self.send(index, 8161, &request)?;
+        let body = serde_json::from_str::<Value>(&body).unwrap_or_default();
+        let state = body["state"].as_str().unwrap_or_default().to_owned();
+        Some(Reply { status, state, retry_after })
+    }
+
     /// Submits a job and waits for the response until `timeout`.
     pub fn post(&self, index: usize, id: u64, body: &Value, timeout: Millis) -> Option<Reply> {
         self.post_with_deadline(index, id, body, timeout, Millis(15_000))
