Check a batch that another VM forwards

Cause: only a caller's batch was checked. A forwarded one whose step waits for itself or for a step that doesn't exist ended the process.

Change: such a batch is refused as moved, and logged as batch-invalid.

Against an_odd_batch_of_a_peer_ends_no_vm failed: "event=abort place=src/batch/spec.rs:145:61 reason=index out of bounds: the len is 0 but the index is 0".

--- a/src/vm/peers.rs
+++ b/src/vm/peers.rs
@@ -21,6 +21,10 @@
         call: Call,
     ) -> Pin<Box<dyn Future<Output = Reply> + Send>> {
         match call {
+            Call::Batch { spec, .. } if spec.check().is_err() => {
+                event!(warn, "batch-invalid", job = spec.id, vm = from);
+                Box::pin(async { Reply::Batch(Outcome::Moved) })
+            }
             Call::Batch { id, spec, age, time_left } => {
                 let outcome = self.with_core(|core, now, effects| {
                     let (batch, outcome) =
--- a/tests/decoders.rs
+++ b/tests/decoders.rs
@@ -15,12 +15,15 @@
 use std::time::Duration;
 
 use arbtest::arbitrary::{Result, Unstructured};
+use async_tungstenite::client_async;
+use async_tungstenite::tungstenite::Message;
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
 use cases::{
     CHUNKED_REQUEST, CHUNKED_RESPONSE, HANDSHAKE, SIZED_REQUEST, SIZED_RESPONSE, any_bytes,
     check_all, check_some, exchange, mangle, spoil, truncations,
 };
+use futures_util::StreamExt as _;
 use gypsumkeel::batch::Terms;
 use gypsumkeel::clock::Millis;
 use gypsumkeel::http::server::Handler;
@@ -373,3 +376,44 @@
         Ok(())
     });
 }
+
+/// A batch that another VM forwards, with steps that no caller could submit.
+#[test]
+fn an_odd_batch_of_a_peer_ends_no_vm() {
+    let env = platform::Env::start(1, 1);
+    let hello = json!({ "Hello": { "version": 1, "vm": "x", "domain": "a",
+        "incarnation": "AAAAAAAAAAAAAAAAAAAAAQ", "peers": { "V4": [[127, 0, 0, 1], 1] } } });
+    let step = |count: u64, after: &[u32]| {
+        json!({ "count": count, "estimate": 1, "after": after,
+        "need": { "cpu": 1, "memory": 1, "gpu": 0 } })
+    };
+    let odd = [
+        json!([]),
+        json!([step(0, &[])]),
+        json!([step(1, &[0])]),
+        json!([step(1, &[7])]),
+        json!([step(1, &[]), step(4_000_000_000, &[0])]),
+    ];
+    for steps in odd {
+        let batch = json!({ "Call": { "id": 1, "call": { "Batch": { "number": 1, "age": 0, "patience": 500,
+            "spec": { "id": "x", "text": "7000 1", "queue": "holds", "service": "desk", "steps": steps,
+                "terms": { "priority": 0, "attempts": 1, "stretch": 1.0, "allowance": 1 } } } } } });
+        smol::block_on(async {
+            let address = SocketAddr::new(env.vms[0].ip, 8166);
+            let stream = smol::net::TcpStream::connect(address).await.expect("the VM listens");
+            let url = format!("ws://{address}/");
+            let (mut link, _) = client_async(url, stream).await.expect("a link");
+            for frame in [&hello, &batch] {
+                let mut bytes = Vec::new();
+                ciborium::into_writer(frame, &mut bytes).unwrap();
+                link.send(Message::Binary(bytes.into())).await.expect("the VM reads");
+            }
+            // The greeting, then the reply or the end of the link.
+            drop(link.next().await);
+            drop(link.next().await);
+        });
+        assert_eq!(env.vms[0].exit_status(), None, "{steps}");
+    }
+    let reply = env.submit(0, 1, 2, 20).expect("a response");
+    assert_eq!((reply.status, &*reply.state), (200, "done"));
+}
