--- a/src/vm/mod.rs
+++ b/src/vm/mod.rs
@@ -6,6 +6,7 @@
 mod adapter;
 mod announce;
 mod calls;
+mod cancel;
 mod core;
 mod follow;
 mod meter;
@@ -19,6 +20,7 @@
 mod submit;
 
 pub use adapter::{Adapter, CallFuture, Client, Site};
+pub use cancel::Cancellation;
 pub use follow::{ROUTES_WAIT, TARGETS_PAUSE, TARGETS_PAUSE_OWNER, TARGETS_WAIT};
 pub use node::{Node, Settings};
 pub use start::{Endpoints, Error, run};
--- a/src/vm/node.rs
+++ b/src/vm/node.rs
@@ -24,6 +24,7 @@
 use crate::store::Store;
 
 use super::adapter::{Adapter, Client, Site};
+use super::cancel::Cancellable;
 use super::core::{Core, Effects, Origin, Standstill};
 
 /// The longest time between two ticks.
@@ -105,6 +106,8 @@
     pub(super) refused: Mutex<BTreeSet<SocketAddr>>,
     /// Forwarded batches to abandon because their links have ended.
     pub(super) abandoned: Mutex<Vec<BatchId>>,
+    /// The batches whose callers wait here.
+    pub(super) cancellable: Cancellable,
     draining: AtomicBool,
     /// When the drain began, in milliseconds of the clock.
     drain_began_at: AtomicU64,
@@ -168,6 +171,7 @@
             targets_read_at: AtomicU64::new(0),
             refused: Mutex::default(),
             abandoned: Mutex::default(),
+            cancellable: Cancellable::default(),
             draining: AtomicBool::new(false),
             drain_began_at: AtomicU64::new(0),
             next_batch_number: AtomicU64::new(1),
@@ -376,7 +380,7 @@
     }
 
     /// The other VMs that are registered or linked.
-    fn known_peers(&self) -> BTreeMap<Incarnation, Peer> {
+    pub(super) fn known_peers(&self) -> BTreeMap<Incarnation, Peer> {
         let (up, view) = (self.links.up(), self.membership.view());
         let refused = self.refused.lock().unwrap_or_else(PoisonError::into_inner);
         let mut peers = BTreeMap::new();
--- a/src/vm/peers.rs
+++ b/src/vm/peers.rs
@@ -8,7 +8,7 @@
 use crate::event;
 use crate::job::Incarnation;
 use crate::peer::{Handler, Link};
-use crate::wire::{Call, Notification, Ownership, Reply, Utilization};
+use crate::wire::{Call, KeyStatus, Notification, Ownership, Reply, Utilization};
 
 use super::core::{Forwarder, Origin, PeerLoad};
 use super::node::Node;
@@ -20,6 +20,10 @@
         call: Call,
     ) -> Pin<Box<dyn Future<Output = Reply> + Send>> {
         match call {
+            Call::Batch { spec, .. } if spec.check().is_err() => {
+                event!(warn, "batch-invalid", job = spec.id, vm = from);
+                Box::pin(async { Reply::Batch(Outcome::Moved) })
+            }
             Call::Batch { id, spec, age, time_left } => {
                 let vm = Arc::from(self.name_of_peer(from));
                 let from = Forwarder { incarnation: from, vm, number: id };
@@ -35,6 +39,14 @@
                 let reply = self.routes_reply();
                 Box::pin(async move { reply })
             }
+            Call::Cancel { key } => Box::pin(async move {
+                let is_cancelled = self.cancellable.cancel(&key.suffix).await;
+                Reply::KeyStatus(if is_cancelled {
+                    KeyStatus::Cancelling
+                } else {
+                    KeyStatus::NeverSubmitted
+                })
+            }),
             other => {
                 event!(warn, "call-ignored", call = format!("{other:?}"));
                 Box::pin(async move { Reply::Routes(Arc::default()) })
