Renew no lease beside an attempt that does not stop

A caller whose connection broke sends its job again after 1,300 ms. Its former attempts could still run by then: while stops to a target get lost, polls and starts for other tasks went on renewing the leases of all that runs there.

Change: once an attempt that nobody waits for has not ended after 150 ms, its target gets no renewal and no start until it has. 150 ms, a lease of 1,000 ms, 2% for a slow clock and 60 ms of slack make 1,230 ms.

--- a/src/schedule/call.rs
+++ b/src/schedule/call.rs
@@ -92,6 +92,7 @@
             overdue: false,
             confirmed_seq: 0,
             orphan: false,
+            orphaned_at: Millis::ZERO,
             progress: Progress::default(),
         });
         let target = Arc::clone(&target.listing.id);
@@ -132,6 +133,7 @@
             let mut to_stop = Vec::new();
             for attempt in of_batch {
                 attempt.orphan = true;
+                attempt.orphaned_at = self.now;
                 if matches!(attempt.state, State::Sent | State::Running) {
                     to_stop.push((attempt.name.clone(), attempt.number));
                 }
--- a/src/schedule/engine.rs
+++ b/src/schedule/engine.rs
@@ -47,6 +47,8 @@
     /// The response time of targets to start calls.
     pub(super) start_latency: Latency,
     next_call: CallId,
+    /// When the event that is being handled came.
+    pub(super) now: Millis,
     /// The event sequence, which tells what was sent before what.
     pub(super) sequence: u64,
     pub(super) draining: bool,
@@ -73,6 +75,7 @@
             calls: HashMap::new(),
             start_latency: Latency::default(),
             next_call: 1,
+            now: Millis::ZERO,
             sequence: 0,
             draining: false,
             held_until: Millis::ZERO,
@@ -84,6 +87,7 @@
     /// Handles one event at the time `now`, and appends the actions to take to `actions`.
     pub fn handle(&mut self, now: Millis, event: Event, actions: &mut Vec<Action>) {
         self.sequence += 1;
+        self.now = now;
         match event {
             Event::Submit { batch, spec, age, time_left } => {
                 self.submit(now, batch, spec, age, time_left, actions);
--- a/src/schedule/poll.rs
+++ b/src/schedule/poll.rs
@@ -90,8 +90,8 @@
         let target = &self.targets[index];
         let fence = target.fence;
         let wait = if target.attempts.is_empty() { WAIT_IDLE } else { WAIT_BUSY };
-        // The leases of attempts that another owner left behind must lapse.
-        let renews = target.foreign.is_empty();
+        // The leases of attempts that another owner left behind, or that don't stop, must lapse.
+        let renews = target.foreign.is_empty() && !target.has_overdue_stop(now);
         let lease_until = target.clock_at(now).filter(|_| renews);
         let lease_until = lease_until.map(|clock| clock + self.rules.lease_max);
         let lapses_at = self.lapse_time(now);
--- a/src/schedule/target.rs
+++ b/src/schedule/target.rs
@@ -23,6 +23,10 @@
 /// The ejection time of a target that can't be reached or reports that it is unhealthy.
 const UNHEALTHY_EJECTION: Millis = Millis(300);
 
+/// How long an attempt that nobody waits for may keep its target's leases renewed. Its caller submits the job again after
+/// 1,300 ms; by then this time and a whole lease must have passed.
+const STOP_WAIT_MAX: Millis = Millis(150);
+
 /// How far a target's clock must be behind an earlier reading to show that its process, and with it the clock, has started
 /// anew. Responses overtake each other by less.
 const CLOCK_RESET_MIN: Millis = Millis(1000);
@@ -117,6 +121,8 @@
     pub confirmed_seq: u64,
     /// Whether the batch is gone, so that nobody waits for the attempt.
     pub orphan: bool,
+    /// When the batch went; meaningless unless `orphan`.
+    pub orphaned_at: Millis,
     pub progress: Progress,
 }
 
@@ -176,11 +182,20 @@
             && !self.unsynced
             && !self.listing.draining
             && self.foreign.is_empty()
+            && !self.has_overdue_stop(now)
             && self.incarnation == self.listing.incarnation
             && self.clock.is_some()
             && self.health.ejected_until <= now
     }
 
+    /// Whether an attempt that nobody waits for still runs here although it should have stopped. No lease may be renewed
+    /// then, as a renewal extends it too.
+    pub fn has_overdue_stop(&self, now: Millis) -> bool {
+        let is_overdue =
+            |attempt: &Attempt| attempt.orphan && now - attempt.orphaned_at > STOP_WAIT_MAX;
+        self.attempts.iter().any(is_overdue)
+    }
+
     /// The resources that no attempt takes.
     pub fn free(&self) -> Resources {
         let taken = self.attempts.iter();
--- a/tests/schedule.rs
+++ b/tests/schedule.rs
@@ -12,10 +12,13 @@
 use gypsumkeel::batch::{Name, Outcome, Refusal, Resources};
 use gypsumkeel::clock::Millis;
 use gypsumkeel::schedule::{Capacity, Event, Leases, Listing, Loss, Trouble};
-use model::{Fault, LEASE, Model, STOP_MAX, listing, spec};
+use model::{Fault, LEASE, Model, RULES, STOP_MAX, listing, spec};
 
 const SEED: u64 = 11;
 
+/// How long after a lost response a caller submits its job again, in milliseconds.
+const RESUBMIT_DELAY: u64 = 1300;
+
 /// A model with one engine that owns `count` targets of 16 cores.
 fn world(count: usize) -> Model {
     let listings = (0..count).map(|index| listing(&format!("t{index}"), 16, "r0"));
@@ -292,6 +295,25 @@
     assert_eq!(model.outcome(1), None);
 }
 
+/// Guards against an attempt whose stops get lost and whose lease is renewed with those of the others on its target, while
+/// the caller has submitted the job at another VM. The model fails when a task runs twice.
+#[test]
+fn an_attempt_that_can_not_be_stopped_lapses_before_its_job_comes_again() {
+    for stage in (0..700).step_by(50) {
+        let listings = vec![listing("t0", 16, "r0"), listing("t1", 16, "r0")];
+        let mut model =
+            Model::with_owners(2, listings, RULES, SEED, |target| usize::from(&*target.id == "t1"));
+        model.submit(100, 0, 1, spec("j1", 1, 7, 4000), 4000, 10_000);
+        // Another batch on the target keeps the polls going.
+        model.submit(100 + stage, 0, 2, spec("j2", 1, 7, 4000), 4000, 10_000);
+        model.fault(900, 0, Fault { stops_lost: 100, ..Fault::default() });
+        model.event(1000, 0, Event::Abandon { batch: 1 });
+        model.submit(1000 + RESUBMIT_DELAY, 1, 1, spec("j1", 1, 7, 4000), 4000, 10_000);
+        model.run(8000);
+        assert_eq!(model.ends[&(1, 1)].outcome, Outcome::Done);
+    }
+}
+
 #[test]
 fn a_resubmitted_batch_waits_for_abandoned_attempts() {
     let mut model = world(2);
--- a/tests/schedule/model.rs
+++ b/tests/schedule/model.rs
@@ -46,6 +46,8 @@
     pub late: u64,
     /// The percentage of starts that are executed and whose response is lost.
     pub response_lost: u64,
+    /// The percentage of stops that don't arrive and get no response.
+    pub stops_lost: u64,
 }
 
 /// An attempt that runs on a target.
@@ -447,11 +449,12 @@
     fn arrive(&mut self, engine: usize, action: Action, late: bool) {
         let (index, call) = self.destination(&action);
         let fault = self.targets[index].fault;
-        if fault.unreachable || self.partitions.contains(&(engine, index)) {
+        let draw = self.random.u64(..100);
+        let is_lost_stop = matches!(action, Action::Stop { .. }) && draw < fault.stops_lost;
+        if fault.unreachable || is_lost_stop || self.partitions.contains(&(engine, index)) {
             self.time_out(engine, call);
             return;
         }
-        let draw = self.random.u64(..100);
         let is_start = matches!(action, Action::Start { .. });
         if is_start && !late && draw < fault.late {
             self.time_out(engine, call);
