--- a/tests/platform/kv.rs
+++ b/tests/platform/kv.rs
@@ -136,10 +136,9 @@
 
     /// The items with a prefix that changed after a revision.
     fn changed(&self, prefix: &str, after: u64) -> Vec<Value> {
-        let items = self
-            .by_key
-            .iter()
-            .filter(|(key, item)| key.starts_with(prefix) && item.revision > after);
+        let known = self.by_key.range(prefix.to_owned()..);
+        let known = known.take_while(|(key, _)| key.starts_with(prefix));
+        let items = known.filter(|(_, item)| item.revision > after);
         let items = items.map(|(key, item)| {
             json!({ "key": key, "value": item.value, "rev": item.revision,
                     "createdRev": item.revision, "lease": item.lease })
--- a/tests/platform/worker.rs
+++ b/tests/platform/worker.rs
@@ -5,18 +5,20 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
+use event_listener::Event;
 use gypsumkeel::http::server::Handler;
 use gypsumkeel::runtime;
 use http_types::{Request, Response};
 use serde_json::{Value, json};
 use smol::Timer;
+use smol::future::FutureExt as _;
 
 use super::serve;
 
-/// The interval at which a worker checks for tasks that have ended or whose lease has lapsed.
-const CHECK_EVERY: Duration = Duration::from_millis(2);
+/// The longest time after which an idle worker looks whether its test has ended.
+const IDLE_MAX: Duration = Duration::from_secs(1);
 
 /// How long a worker takes to stop an attempt, in milliseconds; the platform allows 50.
 const STOP_MS: u64 = 30;
@@ -30,8 +32,10 @@
 /// A record of the tasks on all workers of a test.
 #[derive(Debug, Default)]
 pub struct Ledger {
-    /// The number of running attempts at each task.
-    running: Mutex<HashMap<String, u32>>,
+    /// The running attempts at each task.
+    running: Mutex<HashMap<String, Vec<Run>>>,
+    /// If set, what happened to each task.
+    pub history: Mutex<Option<HashMap<String, Vec<Note>>>>,
     /// The tasks that have succeeded.
     pub done: Mutex<BTreeSet<String>>,
     /// Violated invariants.
@@ -42,6 +46,26 @@
     pub interrupted: Mutex<u32>,
 }
 
+/// A running attempt as the ledger knows it.
+#[derive(Clone, Debug)]
+struct Run {
+    worker: Arc<str>,
+    number: u64,
+    fence: u64,
+}
+
+/// Something that happened to an attempt at a task.
+#[derive(Clone, Debug)]
+pub struct Note {
+    pub at: SystemTime,
+    pub worker: Arc<str>,
+    pub number: u64,
+    /// The fencing token of the order; 0 if there was none.
+    pub fence: u64,
+    /// `start`, `stop`, or how the attempt ended.
+    pub what: &'static str,
+}
+
 /// A fake worker. The text of a task gives its cores, in thousandths, and its duration, in milliseconds: `CPU MS`.
 #[derive(Debug)]
 pub struct Worker {
@@ -53,6 +77,11 @@
 
 #[derive(Debug)]
 struct State {
+    id: Arc<str>,
+    /// Notified when the lease, the running attempts or the completions change.
+    changed: Arc<Event>,
+    /// The number of the last entry in the store.
+    sequence: u64,
     started_at: Instant,
     incarnation: u64,
     /// The highest fencing token seen.
@@ -86,11 +115,16 @@
     ends_at: u64,
     /// When it ends because of a stop.
     stops_at: Option<u64>,
+    /// The fencing token of its start.
+    fence: u64,
 }
 
 impl Worker {
     pub fn start(id: &str, domain: &str, ledger: &Arc<Ledger>) -> Self {
         let state = State {
+            id: Arc::from(id),
+            changed: Arc::default(),
+            sequence: 0,
             started_at: Instant::now(),
             incarnation: 1,
             fence: 0,
@@ -110,9 +144,16 @@
         let watched = Arc::downgrade(&state);
         runtime::spawn(async move {
             while let Some(state) = watched.upgrade() {
-                state.lock().unwrap().advance();
+                let (changed, pause) = {
+                    let mut state = state.lock().unwrap();
+                    state.advance();
+                    (state.changed.listen(), state.until_next_end())
+                };
                 drop(state);
-                Timer::after(CHECK_EVERY).await;
+                let timer = async {
+                    Timer::after(pause).await;
+                };
+                timer.or(changed).await;
             }
         })
         .detach();
@@ -122,11 +163,15 @@
 
     /// The worker's entry in the store.
     pub fn entry(&self, state: &str) -> Value {
-        let incarnation = self.state.lock().unwrap().incarnation;
+        let (incarnation, sequence) = {
+            let mut state = self.state.lock().unwrap();
+            state.sequence += 1;
+            (state.incarnation, state.sequence)
+        };
         json!({
             "service": "desk", "addr": self.address, "zone": self.domain, "version": "v1", "slots": 8,
             "state": state, "coldLeftMs": 0, "room": { "cpu": CPU, "memMb": 32_000, "gpu": 0 },
-            "labels": ["kind", format!("rack-{}", self.domain)], "born": incarnation, "seq": 1,
+            "labels": ["kind", format!("rack-{}", self.domain)], "born": incarnation, "seq": sequence,
         })
     }
 
@@ -166,7 +211,7 @@
     pub fn crash(&self) {
         let mut state = self.state.lock().unwrap();
         for attempt in std::mem::take(&mut state.running) {
-            state.ledger.end(&attempt.task);
+            state.ledger.end(&state.id, &attempt, "crashed");
         }
         state.started_at = Instant::now();
         state.incarnation += 1;
@@ -180,19 +225,40 @@
 
 impl Ledger {
     /// Records the start of an attempt.
-    fn start(&self, task: &str) {
+    fn start(&self, worker: &Arc<str>, attempt: &Attempt) {
         *self.starts.lock().unwrap() += 1;
+        self.note(worker, attempt, attempt.fence, "start");
+        let task = &attempt.task;
         let mut running = self.running.lock().unwrap();
-        let count = running.entry(task.to_owned()).or_default();
-        *count += 1;
-        if *count > 1 {
-            self.violations.lock().unwrap().push(format!("{task} runs twice"));
+        let runs = running.entry(task.clone()).or_default();
+        let run = Run { worker: Arc::clone(worker), number: attempt.number, fence: attempt.fence };
+        runs.push(run);
+        if runs.len() > 1 {
+            self.violations.lock().unwrap().push(format!("{task} runs twice: {runs:?}"));
         }
     }
 
     /// Records the end of an attempt.
-    fn end(&self, task: &str) {
-        *self.running.lock().unwrap().entry(task.to_owned()).or_insert(1) -= 1;
+    fn end(&self, worker: &Arc<str>, attempt: &Attempt, ending: &'static str) {
+        self.note(worker, attempt, 0, ending);
+        let mut running = self.running.lock().unwrap();
+        let Some(runs) = running.get_mut(&attempt.task) else { return };
+        let is_ended = |run: &Run| run.worker == *worker && run.number == attempt.number;
+        if let Some(position) = runs.iter().position(is_ended) {
+            runs.remove(position);
+        }
+        if runs.is_empty() {
+            running.remove(&attempt.task);
+        }
+    }
+
+    /// Adds to the history of a task, if there is one.
+    fn note(&self, worker: &Arc<str>, attempt: &Attempt, fence: u64, what: &'static str) {
+        if let Some(history) = self.history.lock().unwrap().as_mut() {
+            let (at, number) = (SystemTime::now(), attempt.number);
+            let note = Note { at, worker: Arc::clone(worker), number, fence, what };
+            history.entry(attempt.task.clone()).or_default().push(note);
+        }
     }
 }
 
@@ -225,8 +291,19 @@
         }
     }
 
-    fn end(&mut self, attempt: &Attempt, ending: &str) {
-        self.ledger.end(&attempt.task);
+    /// The time until an attempt may end, as far as is known now.
+    fn until_next_end(&self) -> Duration {
+        let ends = self.running.iter().map(|attempt| {
+            let end = attempt.ends_at.min(self.lease);
+            attempt.stops_at.map_or(end, |at| at.min(end))
+        });
+        let clock = self.clock();
+        ends.min().map_or(IDLE_MAX, |end| Duration::from_millis(end.saturating_sub(clock).max(1)))
+    }
+
+    fn end(&mut self, attempt: &Attempt, ending: &'static str) {
+        self.ledger.end(&self.id, attempt, ending);
+        self.changed.notify(usize::MAX);
         if ending != "done" {
             *self.ledger.interrupted.lock().unwrap() += 1;
         }
@@ -239,6 +316,7 @@
     /// Extends the lease to `until`, or as far as the longest lease reaches.
     fn extend(&mut self, until: u64) {
         self.lease = self.lease.max(until.min(self.clock() + LEASE_MAX_MS));
+        self.changed.notify(usize::MAX);
     }
 
     /// Whether a call's fencing token is high enough.
@@ -273,11 +351,12 @@
                 .unwrap()
                 .push(format!("{task} exceeds the capacity of its worker"));
         }
-        self.ledger.start(task);
         let started_at = self.clock();
-        let task = task.to_owned();
+        let (task, fence) = (task.to_owned(), body["fence"].as_u64().unwrap_or(0));
         let ends_at = started_at + duration;
-        self.running.push(Attempt { task, number, cpu, started_at, ends_at, stops_at: None });
+        let attempt = Attempt { task, number, cpu, started_at, ends_at, stops_at: None, fence };
+        self.ledger.start(&self.id, &attempt);
+        self.running.push(attempt);
         self.answer(200, None)
     }
 
@@ -288,7 +367,10 @@
         let is_meant = |attempt: &&mut Attempt| attempt.task == task && attempt.number == number;
         if let Some(attempt) = self.running.iter_mut().find(is_meant) {
             attempt.stops_at.get_or_insert(stops_at);
+            let fence = body["fence"].as_u64().unwrap_or(0);
+            self.ledger.note(&self.id, attempt, fence, "stop");
         }
+        self.changed.notify(usize::MAX);
         self.answer(200, None)
     }
 
@@ -327,7 +409,8 @@
     ) -> Pin<Box<dyn Future<Output = Response> + Send>> {
         Box::pin(async move {
             let body = request.body_string().await.unwrap_or_default();
-            let body = serde_json::from_str::<Value>(&body).unwrap();
+            // A caller that leaves may cut its request short.
+            let Ok(body) = serde_json::from_str::<Value>(&body) else { return Response::new(400) };
             let expects = request.header("Expect-Instance").map(|value| value.last().as_str());
             if expects != Some(self.id.as_str())
                 || self.state.lock().unwrap().is_answered_by_another()
@@ -386,14 +469,18 @@
             state.completions.retain(|completion| completion[0].as_u64() > Some(acknowledged));
         }
         loop {
-            {
+            let changed = {
                 let mut state = self.state.lock().unwrap();
                 state.advance();
                 if !state.completions.is_empty() || Instant::now() >= deadline {
                     return state.report();
                 }
-            }
-            Timer::after(CHECK_EVERY).await;
+                state.changed.listen()
+            };
+            let timer = async {
+                Timer::at(deadline).await;
+            };
+            timer.or(changed).await;
         }
     }
 }
