Take the age limit of frames back until abandonment is prompt

Cause: with the lease on links a VM that is short of processor time loses more links, and what came by them is abandoned by the ticker, which is late on such a VM too.

--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -66,8 +66,8 @@
     }
 
     /// Queues a heartbeat, or drops it if the queue is full.
-    pub fn send_heartbeat(&self, heartbeat: Frame) {
-        drop(self.queue.try_send(heartbeat));
+    pub fn send_heartbeat(&self) {
+        drop(self.queue.try_send(Frame::Heartbeat));
     }
 
     /// Passes a reply on to the call that waits for it, or drops it if none does.
--- a/src/peer/links.rs
+++ b/src/peer/links.rs
@@ -1,8 +1,7 @@
 //! The links of a VM: dialling, heartbeats, and the links that other VMs dialled.
 //!
 //! Each VM of a pair dials the other. A VM sends its calls and notifications on the link that it dialled, and its
-//! replies on the one that it accepted. The accepting VM holds the peer to a lease, so that it never acts on frames that
-//! are older than the link timeout.
+//! replies on the one that it accepted.
 
 use std::collections::{BTreeMap, HashMap};
 use std::fmt;
@@ -19,13 +18,12 @@
 use smol::net::{TcpListener, TcpStream};
 
 use crate::accept;
-use crate::clock::{Clock, Millis};
+use crate::clock::Millis;
 use crate::event;
 use crate::job::Incarnation;
 use crate::runtime;
 use crate::wire::{Call, Frame, Hello, Notification, Reply, VERSION};
 
-use super::lease::Lease;
 use super::link::Link;
 use super::socket::{self, LinkError, Source};
 use super::volume::{Counts, Volume};
@@ -90,7 +88,6 @@
 pub struct Links {
     local: Hello,
     rules: Rules,
-    clock: Clock,
     up: ArcSwap<BTreeMap<Incarnation, Arc<Link>>>,
     /// The addresses that are kept linked. The event of an address ends its pause between two dials.
     dialled: Mutex<HashMap<SocketAddr, Arc<Event>>>,
@@ -109,7 +106,6 @@
         Self {
             local,
             rules,
-            clock: Clock::start(),
             up: ArcSwap::default(),
             dialled: Mutex::default(),
             up_changed: Event::new(),
@@ -239,7 +235,6 @@
         let epoch = self.accepted_epoch.load(Ordering::Relaxed);
         let (mut sink, mut source) =
             within(self.rules.timeout, socket::accept(stream, Arc::clone(&self.volume))).await?;
-        let opened_at = self.clock.now();
         sink.send(&Frame::Hello(self.local.clone())).await?;
         let hello = within(self.rules.timeout, receive_hello(&mut source)).await?;
         self.connect(hello.peer_address, handler);
@@ -247,51 +242,20 @@
         let (queue, frames) = channel::bounded(REPLY_QUEUE_FRAMES);
         let unsent = Arc::new(AtomicUsize::new(0));
         self.track_replies(&unsent);
-        let mut lease = hello.echoes.then(|| Lease::new(opened_at, self.rules.timeout));
         let incoming = async {
             loop {
-                let frame = within(self.time_left(lease), source.next()).await?;
+                let frame = within(self.rules.timeout, source.next()).await?;
                 Arc::clone(handler).frame_arrived();
                 self.check_open(epoch)?;
-                self.renew(&mut lease, &frame)?;
                 handle_frame(&hello, frame, &queue, &unsent, handler)?;
             }
         };
         let closed = self.wait_until_closed(epoch);
-        let sending = sink.send_queued(&frames, &unsent).or(self.send_readings(&hello, &queue));
-        let result = closed.or(incoming).or(sending).await;
+        let result = closed.or(incoming).or(sink.send_queued(&frames, &unsent)).await;
         handler.peer_disconnected(hello.incarnation);
         result
     }
 
-    /// How long to wait for the next frame on an accepted link.
-    fn time_left(&self, lease: Option<Lease>) -> Millis {
-        let now = self.clock.now();
-        lease.map_or(self.rules.timeout, |lease| lease.time_left(now).unwrap_or_default())
-    }
-
-    /// Renews the lease of an accepted link by a frame. Fails if the lease has expired, as the frame may be too old.
-    fn renew(&self, lease: &mut Option<Lease>, frame: &Frame) -> Result<(), LinkError> {
-        let Some(lease) = lease else { return Ok(()) };
-        if let Frame::Echo(reading) = frame {
-            lease.renew(*reading);
-        }
-        if lease.time_left(self.clock.now()).is_none() {
-            return Err(LinkError::new("frames of the peer arrive too late"));
-        }
-        Ok(())
-    }
-
-    /// Regularly queues a reading of the clock for the peer to return, if it does.
-    async fn send_readings(&self, hello: &Hello, queue: &Sender<Frame>) -> Result<(), LinkError> {
-        loop {
-            if hello.echoes {
-                drop(queue.try_send(Frame::Echo(self.clock.now())));
-            }
-            Timer::after(self.rules.interval.duration()).await;
-        }
-    }
-
     /// Keeps a link to an address up. Returns if the address turns out to be this VM's, or if it is given up.
     async fn keep_linked(
         self: Arc<Self>,
@@ -377,19 +341,15 @@
     ) -> Result<(), LinkError> {
         let heartbeats = async {
             loop {
-                if !link.hello.echoes {
-                    link.send_heartbeat(Frame::Heartbeat);
-                }
+                link.send_heartbeat();
                 Timer::after(self.rules.interval.duration()).await;
             }
         };
         let replies = async {
             loop {
                 let frame = within(self.rules.timeout, source.next()).await?;
-                match frame {
-                    Frame::Reply { id, reply } => link.handle_reply(id, reply),
-                    Frame::Echo(reading) => link.send_heartbeat(Frame::Echo(reading)),
-                    _ => {}
+                if let Frame::Reply { id, reply } = frame {
+                    link.handle_reply(id, reply);
                 }
             }
         };
@@ -436,7 +396,6 @@
         Frame::Heartbeat => {
             drop(queue.try_send(Frame::Heartbeat));
         }
-        Frame::Echo(_) => {}
         Frame::Notification(notification) => {
             Arc::clone(handler).notify(hello.incarnation, notification);
         }
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -1,6 +1,5 @@
 //! Links to the other VMs. Each VM of a pair dials the other, and heartbeats detect links that have failed.
 
-mod lease;
 mod link;
 mod links;
 mod socket;
--- a/src/serve/start.rs
+++ b/src/serve/start.rs
@@ -94,7 +94,6 @@
         peer_address,
         cpu: 0,
         quota: Quota::default(),
-        echoes: true,
     };
     let membership = Membership::new(Registration {
         vm: settings.vm.clone(),
--- a/src/vm/start.rs
+++ b/src/vm/start.rs
@@ -96,7 +96,6 @@
         peer_address: settings.peers,
         cpu: settings.cpu,
         quota: settings.quota,
-        echoes: true,
     };
     let membership = Membership::new(Registration {
         vm: settings.vm.clone(),
--- a/src/wire/frame.rs
+++ b/src/wire/frame.rs
@@ -30,9 +30,6 @@
     /// A heartbeat. The VM that accepted the link responds to each with its own.
     #[serde(rename = "Beat")]
     Heartbeat,
-    /// A heartbeat with a time, if both VMs know of it; see [`Hello::echoes`]. The VM that accepted the link sends its own
-    /// clock at regular times, and the VM that dialled it returns each value at once.
-    Echo(Millis),
     /// A call, whose reply comes back on the same link.
     Call {
         /// The id of the call, unique on this link.
@@ -72,14 +69,6 @@
     /// How many targets the VM may own.
     #[serde(default, skip_serializing_if = "Quota::is_largest")]
     pub quota: Quota,
-    /// Whether the VM sends and returns [`Frame::Echo`]. Earlier releases don't.
-    #[serde(default, skip_serializing_if = "is_false")]
-    pub echoes: bool,
-}
-
-#[allow(clippy::trivially_copy_pass_by_ref, reason = "serde passes a reference")]
-const fn is_false(value: &bool) -> bool {
-    !*value
 }
 
 /// A call to another VM.
@@ -246,7 +235,7 @@
     /// Whether the frame is control traffic, as opposed to jobs, tasks and their results.
     pub const fn is_control(&self) -> bool {
         match self {
-            Self::Hello(_) | Self::Heartbeat | Self::Echo(_) | Self::Notification(_) => true,
+            Self::Hello(_) | Self::Heartbeat | Self::Notification(_) => true,
             Self::Call { call, .. } => {
                 matches!(call, Call::ConfigSince { .. } | Call::View | Call::Routes)
             }
--- a/tests/links.rs
+++ b/tests/links.rs
@@ -77,7 +77,6 @@
         peer_address,
         cpu: 250,
         quota: Quota::default(),
-        echoes: true,
     }
 }
 
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -262,7 +262,6 @@
         peer_address: "127.0.0.1:7200".parse().unwrap(),
         cpu: 250,
         quota: Quota::default(),
-        echoes: true,
     };
     let delegation = Delegation {
         name: "x.1".into(),
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -17,12 +17,7 @@
             "version": 1, "vm": "lantern-a-2", "incarnation": INCARNATION, "domain": "a",
             "peers": { "V4": [[127, 0, 0, 1], 7200] }, "cpu": 250, "quota": 8,
         } }),
-        json!({ "Hello": {
-            "version": 1, "vm": "lantern-a-3", "incarnation": INCARNATION, "domain": "a",
-            "peers": { "V4": [[127, 0, 0, 1], 7200] }, "cpu": 250, "echoes": true,
-        } }),
         json!("Beat"),
-        json!({ "Echo": 70_000 }),
     ];
     frames.extend(calls().into_iter().map(|call| json!({ "Call": { "id": 3, "call": call } })));
     frames
