Survive the largest round that a peer can announce

A VM that hears of round u64::MAX from another one panicked with "attempt to add with overflow" when it next acquired a target (in release builds the round went round to 0). Found by a review that read the code; the_largest_round_that_a_peer_can_announce_ends_no_vm failed with that panic before.

--- a/src/schedule/listing.rs
+++ b/src/schedule/listing.rs
@@ -86,7 +86,7 @@
             return;
         }
         target.phase = Phase::Acquiring;
-        target.fence = target.fence.at(round.max(target.fence.round) + 1);
+        target.fence = target.fence.at(round.max(target.fence.round).saturating_add(1));
         target.denied_step = 1;
         target.next_poll_at = now;
         target.unreachable = false;
--- a/tests/schedule.rs
+++ b/tests/schedule.rs
@@ -403,6 +403,15 @@
     assert!((1001..=1005).contains(&round), "{round}");
 }
 
+#[test]
+fn the_largest_round_that_a_peer_can_announce_ends_no_vm() {
+    let mut model = Model::new(2, vec![listing("t0", 16, "r0")], SEED);
+    model.event(200, 1, Event::Acquire { target: Arc::from("t0"), round: u64::MAX });
+    model.submit(300, 1, 1, spec("j1", 1, 7, 50), 50, 5000);
+    model.run(2000);
+    assert_eq!(model.ends[&(1, 1)].outcome, Outcome::Done);
+}
+
 #[test]
 fn an_unreachable_target_is_not_taken_over_on_first_contact() {
     let mut model = Model::new(2, vec![listing("t0", 16, "r0")], SEED);
