--- a/tests/schedule/model.rs
+++ b/tests/schedule/model.rs
@@ -449,9 +449,12 @@
     fn arrive(&mut self, engine: usize, action: Action, late: bool) {
         let (index, call) = self.destination(&action);
         let fault = self.targets[index].fault;
+        if fault.unreachable || self.partitions.contains(&(engine, index)) {
+            self.time_out(engine, call);
+            return;
+        }
         let draw = self.random.u64(..100);
-        let is_lost_stop = matches!(action, Action::Stop { .. }) && draw < fault.stops_lost;
-        if fault.unreachable || is_lost_stop || self.partitions.contains(&(engine, index)) {
+        if matches!(action, Action::Stop { .. }) && draw < fault.stops_lost {
             self.time_out(engine, call);
             return;
         }
