Show that a new VM denies jobs of VMs that it has not heard of

The store turns a machine away while it is added. It takes the configuration from another VM, reports that it is ready, and answers DELETE with 410 for jobs whose clients wait at a VM that is no seed. These jobs run to their ends: tasks start later than cancel_ms after the acknowledgement.

--- a/review/standins-2/cancel.rs
+++ b/review/standins-2/cancel.rs
@@ -113,3 +113,42 @@
         Ok(check(record, &acknowledged, calm_from))
     })
 }
+
+/// A VM is added while the store turns it away for 6 s. As soon as it is ready, clients cancel jobs there whose clients wait
+/// at another VM of the zone.
+pub fn added(record: &Arc<Record>, has_trouble: bool) -> Verdict {
+    const JOBS: usize = 3;
+    const REFUSED_FOR: Duration = Duration::from_secs(6);
+    let mut fleet = Fleet::start(record, &["a", "b", "c"], 2, 3)?;
+    // The VMs 0 and 3 are in zone a; the seeds are the VMs 0, 1 and 2.
+    let holder = 3;
+    thread::sleep(STABLE_WINDOW);
+    let added = fleet.prepare("a");
+    let fleet = &fleet;
+    thread::scope(|scope| {
+        for job in 0..JOBS {
+            scope.spawn(move || fleet.submit(holder, &id(job), &chain(40, 500), PATIENCE));
+        }
+        thread::sleep(Duration::from_secs(1));
+        fleet.refuse(added, has_trouble);
+        let refused_at = Instant::now();
+        fleet.launch(added)?;
+        fleet.wait("the new VM is ready", REFUSED_FOR, || fleet.is_ready(added))?;
+        let until = Instant::now() + Duration::from_secs(20);
+        let cancels = (0..JOBS).map(|job| scope.spawn(move || cancel(fleet, added, &id(job), until)));
+        let cancels = cancels.collect::<Vec<_>>();
+        thread::sleep(REFUSED_FOR.saturating_sub(refused_at.elapsed()));
+        fleet.refuse(added, false);
+        let calm_from = record.now();
+        let acknowledged = cancels.into_iter().enumerate().filter_map(|(job, cancel)| {
+            let (status, at) = cancel.join().ok()??;
+            Some((id(job), status, at))
+        });
+        let acknowledged = acknowledged.collect::<Vec<_>>();
+        if acknowledged.len() < JOBS {
+            return Err("not all cancels were acknowledged".to_owned());
+        }
+        thread::sleep(Duration::from_secs(18));
+        Ok(check(record, &acknowledged, calm_from))
+    })
+}
--- a/review/standins-2/fleet.rs
+++ b/review/standins-2/fleet.rs
@@ -47,7 +47,7 @@
     pub ip: IpAddr,
     child: Mutex<Option<Child>>,
     /// Whether the store refuses this VM's calls.
-    pub is_refused: Arc<AtomicBool>,
+    is_refused: Arc<AtomicBool>,
     store: SocketAddr,
 }
 
@@ -91,7 +91,8 @@
             }
         }
         for index in 0..count {
-            fleet.add(zones[index % zones.len()])?;
+            let vm = fleet.prepare(zones[index % zones.len()]);
+            fleet.launch(vm)?;
         }
         let all = 0..count;
         fleet.wait("all VMs are ready", START_MAX, || all.clone().all(|vm| fleet.is_ready(vm)))?;
@@ -111,8 +112,8 @@
         self.store.put("op/config", &config);
     }
 
-    /// Adds a VM in a zone, starts its process and returns its index.
-    pub fn add(&mut self, zone: &str) -> Result<usize, String> {
+    /// Prepares a VM in a zone, without its process, and returns its index.
+    pub fn prepare(&mut self, zone: &str) -> usize {
         let index = self.vms.len();
         let is_refused = Arc::<AtomicBool>::default();
         let refuses = Arc::clone(&is_refused);
@@ -125,8 +126,14 @@
             is_refused,
             store,
         });
-        self.launch(index)?;
-        Ok(index)
+        index
+    }
+
+    /// Lets the store turn a VM away with status 503, or serve it again.
+    pub fn refuse(&self, index: usize, is_refused: bool) {
+        let vm = &self.vms[index];
+        self.record.line(&format!("the store turns {} away: {is_refused}", vm.name));
+        vm.is_refused.store(is_refused, Ordering::Relaxed);
     }
 
     /// Starts the process of a VM.
