Show that a cancelled job runs when its POST arrives once more

Here it is one of twenty, 4 s after the job's cancelling was acknowledged with 200: the job starts anew and runs to its end.

--- a/review/standins-2/cancel.rs
+++ b/review/standins-2/cancel.rs
@@ -114,6 +114,39 @@
     })
 }
 
+/// Clients cancel five of twenty jobs. The POST of one of these arrives once more, 4 s after it was answered with 2xx.
+pub fn repeated(record: &Arc<Record>, has_trouble: bool) -> Verdict {
+    const JOBS: usize = 20;
+    const CANCELLED: usize = 5;
+    const REPEATED: usize = 0;
+    let fleet = &Fleet::start(record, &["a", "b"], 2, 3)?;
+    let vms = fleet.vms.len();
+    thread::sleep(STABLE_WINDOW);
+    thread::scope(|scope| {
+        let posts = (0..JOBS).map(|job| {
+            scope.spawn(move || fleet.submit(job % vms, &id(job), &chain(10, 400), PATIENCE))
+        });
+        let mut posts = posts.collect::<Vec<_>>();
+        thread::sleep(Duration::from_secs(1));
+        let until = Instant::now() + Duration::from_secs(10);
+        let mut acknowledged = Vec::new();
+        for job in 0..CANCELLED {
+            let (status, at) = cancel(fleet, (job + 1) % vms, &id(job), until).ok_or("a cancel was not acknowledged")?;
+            acknowledged.push((id(job), status, at));
+        }
+        let answer = posts.swap_remove(REPEATED).join().map_err(|_| "a client failed")??;
+        if !(200..300).contains(&answer.status) {
+            return Err(format!("the POST of the cancelled job was answered with {}", answer.status));
+        }
+        thread::sleep(Duration::from_secs(4));
+        if has_trouble {
+            drop(fleet.submit((REPEATED + 2) % vms, &id(REPEATED), &chain(10, 400), PATIENCE));
+        }
+        thread::sleep(Duration::from_secs(2));
+        Ok(check(record, &acknowledged, Duration::ZERO))
+    })
+}
+
 /// A VM is added while the store turns it away for 6 s. As soon as it is ready, clients cancel jobs there whose clients wait
 /// at another VM of the zone.
 pub fn added(record: &Arc<Record>, has_trouble: bool) -> Verdict {
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -29,6 +29,7 @@
     let record = Arc::new(Record::new(&Path::new(folder).join("record.txt")));
     let verdict = match name.as_str() {
         "cancel-frozen" => cancel::frozen(&record, has_trouble),
+        "cancel-repeated" => cancel::repeated(&record, has_trouble),
         "cancel-added" => cancel::added(&record, has_trouble),
         _ => Err(format!("no trial {name}")),
     };
