--- a/review/standins-2/cancel.rs
+++ b/review/standins-2/cancel.rs
@@ -93,7 +93,8 @@
         }
         thread::sleep(Duration::from_millis(2200));
         let until = Instant::now() + Duration::from_secs(20);
-        let cancels = (0..JOBS).map(|job| scope.spawn(move || cancel(fleet, other, &id(job), until)));
+        let cancels =
+            (0..JOBS).map(|job| scope.spawn(move || cancel(fleet, other, &id(job), until)));
         let cancels = cancels.collect::<Vec<_>>();
         thread::sleep(Duration::from_millis(1800));
         if has_trouble {
@@ -131,12 +132,16 @@
         let until = Instant::now() + Duration::from_secs(10);
         let mut acknowledged = Vec::new();
         for job in 0..CANCELLED {
-            let (status, at) = cancel(fleet, (job + 1) % vms, &id(job), until).ok_or("a cancel was not acknowledged")?;
+            let (status, at) = cancel(fleet, (job + 1) % vms, &id(job), until)
+                .ok_or("a cancel was not acknowledged")?;
             acknowledged.push((id(job), status, at));
         }
         let answer = posts.swap_remove(REPEATED).join().map_err(|_| "a client failed")??;
         if !(200..300).contains(&answer.status) {
-            return Err(format!("the POST of the cancelled job was answered with {}", answer.status));
+            return Err(format!(
+                "the POST of the cancelled job was answered with {}",
+                answer.status
+            ));
         }
         thread::sleep(Duration::from_secs(4));
         if has_trouble {
@@ -168,7 +173,8 @@
         fleet.launch(added)?;
         fleet.wait("the new VM is ready", REFUSED_FOR, || fleet.is_ready(added))?;
         let until = Instant::now() + Duration::from_secs(20);
-        let cancels = (0..JOBS).map(|job| scope.spawn(move || cancel(fleet, added, &id(job), until)));
+        let cancels =
+            (0..JOBS).map(|job| scope.spawn(move || cancel(fleet, added, &id(job), until)));
         let cancels = cancels.collect::<Vec<_>>();
         thread::sleep(REFUSED_FOR.saturating_sub(refused_at.elapsed()));
         fleet.refuse(added, false);
--- a/review/standins-2/fleet.rs
+++ b/review/standins-2/fleet.rs
@@ -65,15 +65,23 @@
 
 impl Fleet {
     /// Starts `vms` VMs and `workers` workers in each zone. Fails if they are not ready in time.
-    pub fn start(record: &Arc<Record>, zones: &[&str], vms: usize, workers: usize) -> Result<Self, String> {
-        let random = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().subsec_nanos();
-        let folder = std::env::temp_dir().join(format!("gypsumkeel-trial-{}-{random}", std::process::id()));
+    pub fn start(
+        record: &Arc<Record>,
+        zones: &[&str],
+        vms: usize,
+        workers: usize,
+    ) -> Result<Self, String> {
+        let random =
+            SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().subsec_nanos();
+        let folder =
+            std::env::temp_dir().join(format!("gypsumkeel-trial-{}-{random}", std::process::id()));
         fs::create_dir_all(&folder).map_err(|error| error.to_string())?;
         let count = zones.len() * vms;
         let net = (0..200).map(|step| net(random.wrapping_add(step * 7919)));
         let net = net.into_iter().find(|net| is_free(*net, count)).ok_or("no free addresses")?;
         let store = Store::new();
-        let seeds = (0..count.min(SEEDS)).map(|index| SocketAddr::new(ip(net, index), CONTROL)).collect();
+        let seeds =
+            (0..count.min(SEEDS)).map(|index| SocketAddr::new(ip(net, index), CONTROL)).collect();
         let mut fleet = Self {
             record: Arc::clone(record),
             store,
@@ -96,7 +104,9 @@
         }
         let all = 0..count;
         fleet.wait("all VMs are ready", START_MAX, || all.clone().all(|vm| fleet.is_ready(vm)))?;
-        fleet.wait("all workers are owned", START_MAX, || fleet.owned() == fleet.workers.len() as u64)?;
+        fleet.wait("all workers are owned", START_MAX, || {
+            fleet.owned() == fleet.workers.len() as u64
+        })?;
         Ok(fleet)
     }
 
@@ -159,7 +169,8 @@
 
     fn settings(&self, vm: &Vm) -> String {
         let at = |port| SocketAddr::new(vm.ip, port);
-        let seeds = self.seeds.iter().map(|seed| format!("\"{seed}\"")).collect::<Vec<_>>().join(",");
+        let seeds =
+            self.seeds.iter().map(|seed| format!("\"{seed}\"")).collect::<Vec<_>>().join(",");
         format!(
             "{{\"node\":\"{}\",\"role\":\"edge\",\"class\":\"edge\",\"serves\":[\"edge\",\"control\"],\"ip\":\"{}\",\
              \"zone\":\"{}\",\"region\":\"south\",\"zones\":{{\"a\":\"south\",\"b\":\"south\",\"c\":\"south\"}},\
@@ -187,10 +198,23 @@
         reply.is_ok_and(|reply| reply.status == 200)
     }
 
-    fn get(&self, index: usize, port: u16, path: &str, patience: Duration) -> Result<Reply, String> {
+    fn get(
+        &self,
+        index: usize,
+        port: u16,
+        path: &str,
+        patience: Duration,
+    ) -> Result<Reply, String> {
         let address = SocketAddr::new(self.vms[index].ip, port);
         let (path, host) = (path.to_owned(), HOST.to_owned());
-        let call = Call { method: "GET", path, host, patience, tells_deadline: false, body: String::new() };
+        let call = Call {
+            method: "GET",
+            path,
+            host,
+            patience,
+            tells_deadline: false,
+            body: String::new(),
+        };
         http::call(address, &call)
     }
 
@@ -208,7 +232,13 @@
     }
 
     /// Submits a job to a VM and waits for the outcome.
-    pub fn submit(&self, index: usize, id: &str, body: &str, patience: Duration) -> Result<Reply, String> {
+    pub fn submit(
+        &self,
+        index: usize,
+        id: &str,
+        body: &str,
+        patience: Duration,
+    ) -> Result<Reply, String> {
         self.send(index, "POST", id, body, patience, true)
     }
 
@@ -249,28 +279,13 @@
         }
     }
 
-    /// Waits for the end of the process of a VM; false if it has not ended in time.
-    pub fn wait_for_exit(&self, index: usize, limit: Duration) -> bool {
-        let from = Instant::now();
-        while from.elapsed() < limit {
-            let mut child = self.vms[index].child.lock().unwrap();
-            match child.as_mut().map(Child::try_wait) {
-                None => return true,
-                Some(Ok(Some(status))) => {
-                    self.record.line(&format!("{} has ended: {status}", self.vms[index].name));
-                    *child = None;
-                    return true;
-                }
-                Some(_) => {}
-            }
-            drop(child);
-            thread::sleep(Duration::from_millis(1));
-        }
-        false
-    }
-
     /// Waits until a condition holds; the error names it.
-    pub fn wait(&self, what: &str, limit: Duration, condition: impl Fn() -> bool) -> Result<(), String> {
+    pub fn wait(
+        &self,
+        what: &str,
+        limit: Duration,
+        condition: impl Fn() -> bool,
+    ) -> Result<(), String> {
         let from = Instant::now();
         while !condition() {
             if from.elapsed() > limit {
--- a/review/standins-2/http.rs
+++ b/review/standins-2/http.rs
@@ -168,7 +168,8 @@
 /// Sends a request on a connection of its own. The error says why there is no response; the connection is closed then.
 pub fn call(address: SocketAddr, call: &Call) -> Result<Reply, String> {
     let failed = |error: io::Error| error.to_string();
-    let mut stream = TcpStream::connect_timeout(&address, Duration::from_secs(2)).map_err(failed)?;
+    let mut stream =
+        TcpStream::connect_timeout(&address, Duration::from_secs(2)).map_err(failed)?;
     drop(stream.set_nodelay(true));
     stream.set_read_timeout(Some(call.patience)).map_err(failed)?;
     let deadline = match call.tells_deadline {
--- a/review/standins-2/record.rs
+++ b/review/standins-2/record.rs
@@ -1,6 +1,5 @@
 //! What a trial has seen: a record of lines with their times, and the runs of all tasks.
 
-use std::collections::BTreeMap;
 use std::fs::File;
 use std::io::Write;
 use std::path::Path;
@@ -74,24 +73,4 @@
     pub fn runs(&self) -> Vec<Run> {
         self.runs.lock().unwrap().clone()
     }
-
-    /// The pairs of runs of one task that were at work at the same time.
-    pub fn overlaps(&self) -> Vec<(Run, Run)> {
-        let mut by_task = BTreeMap::<String, Vec<Run>>::new();
-        for run in self.runs() {
-            by_task.entry(run.task.clone()).or_default().push(run);
-        }
-        let mut overlaps = Vec::new();
-        for runs in by_task.values() {
-            for (index, first) in runs.iter().enumerate() {
-                for second in &runs[index + 1..] {
-                    let is_over = first.end.is_some_and(|(end, _)| end <= second.from);
-                    if !is_over {
-                        overlaps.push((first.clone(), second.clone()));
-                    }
-                }
-            }
-        }
-        overlaps
-    }
 }
--- a/review/standins-2/store.rs
+++ b/review/standins-2/store.rs
@@ -71,13 +71,6 @@
         state.put(key, encode(value.as_bytes()), 0);
     }
 
-    /// The keys with a prefix.
-    pub fn keys(&self, prefix: &str) -> Vec<String> {
-        let mut state = self.state.lock().unwrap();
-        state.expire();
-        state.items.keys().filter(|key| key.starts_with(prefix)).cloned().collect()
-    }
-
     fn answer(&self, request: &Request) -> Response {
         let body = Json::parse(&request.body).unwrap_or(Json::Null);
         match (request.method.as_str(), request.path()) {
--- a/review/standins-2/worker.rs
+++ b/review/standins-2/worker.rs
@@ -67,7 +67,13 @@
 
 impl Worker {
     /// Starts a worker that writes its entry to the store.
-    pub fn start(id: &str, zone: &str, rack: &str, store: &Store, record: &Arc<Record>) -> Arc<Self> {
+    pub fn start(
+        id: &str,
+        zone: &str,
+        rack: &str,
+        store: &Store,
+        record: &Arc<Record>,
+    ) -> Arc<Self> {
         let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let worker = Arc::new(Self {
             id: id.to_owned(),
@@ -198,7 +204,13 @@
         }
         self.extend(state, until);
         let until = clock + duration;
-        state.running.push(Run { task: task.to_owned(), number, from: clock, until, stops_at: None });
+        state.running.push(Run {
+            task: task.to_owned(),
+            number,
+            from: clock,
+            until,
+            stops_at: None,
+        });
         self.record.start(&self.id, task, number);
         (200, self.receipt(None))
     }
@@ -242,6 +254,11 @@
         let running = running.collect::<Vec<_>>().join(",");
         let ends = ends.collect::<Vec<_>>().join(",");
         let born = self.born;
-        (200, format!("{{\"clockMs\":{clock},\"born\":{born},\"running\":[{running}],\"ended\":[{ends}]}}"))
+        (
+            200,
+            format!(
+                "{{\"clockMs\":{clock},\"born\":{born},\"running\":[{running}],\"ended\":[{ends}]}}"
+            ),
+        )
     }
 }
