End the VMs of a trial with it, choose free ports, and exit with 2 on any failure

A trial that was killed after 6 s left its four VMs running; now they end with it. An unwritable record gave 101 and not 2. The ports of callers, VMs and readiness were fixed.

--- a/review/standins-2/fleet.rs
+++ b/review/standins-2/fleet.rs
@@ -2,6 +2,7 @@
 
 use std::fs::{self, File};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -20,12 +21,15 @@
 pub const HOST: &str = "desk.example";
 pub const PREFIX: &str = "/holds/";
 
-/// The ports of a VM.
-const FRONT: u16 = 8161;
-const CONTROL: u16 = 8166;
-const READY: u16 = 8167;
+/// The port for metrics, which the program fixes. If another process listens there on all addresses, no trial can run.
 const METRICS: u16 = 9100;
 
+/// The ports from which the others are chosen. They lie below those that the system gives to outgoing connections.
+const PORTS: std::ops::Range<u16> = 15_000..30_000;
+
+/// The sets of addresses and ports that are tried.
+const TRIES: u32 = 200;
+
 /// The longest wait for the deployment to start.
 const START_MAX: Duration = Duration::from_secs(15);
 
@@ -37,6 +41,20 @@
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, argument: usize, ...) -> i32;
+}
+
+/// The option of `prctl` that names the signal that a process gets when its parent ends.
+const PR_SET_PDEATHSIG: i32 = 1;
+
+const SIGKILL: usize = 9;
+
+/// The ports of a VM, the same on all.
+#[derive(Clone, Copy, Debug)]
+struct Ports {
+    front: u16,
+    control: u16,
+    ready: u16,
 }
 
 /// An entry VM.
@@ -61,6 +79,7 @@
     folder: PathBuf,
     seeds: Vec<SocketAddr>,
     net: [u8; 2],
+    ports: Ports,
 }
 
 impl Fleet {
@@ -73,15 +92,19 @@
     ) -> Result<Self, String> {
         let random =
             SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().subsec_nanos();
+        let count = zones.len() * vms;
+        let (net, ports) = (0..TRIES)
+            .map(|step| random.wrapping_add(step.wrapping_mul(7_368_787)))
+            .map(|random| (net(random), ports(random)))
+            .find(|(net, ports)| is_free(*net, *ports, count))
+            .ok_or("no free addresses and ports")?;
         let folder =
             std::env::temp_dir().join(format!("gypsumkeel-trial-{}-{random}", std::process::id()));
         fs::create_dir_all(&folder).map_err(|error| error.to_string())?;
-        let count = zones.len() * vms;
-        let net = (0..200).map(|step| net(random.wrapping_add(step * 7919)));
-        let net = net.into_iter().find(|net| is_free(*net, count)).ok_or("no free addresses")?;
         let store = Store::new();
-        let seeds =
-            (0..count.min(SEEDS)).map(|index| SocketAddr::new(ip(net, index), CONTROL)).collect();
+        let seeds = (0..count.min(SEEDS))
+            .map(|index| SocketAddr::new(ip(net, index), ports.control))
+            .collect();
         let mut fleet = Self {
             record: Arc::clone(record),
             store,
@@ -90,6 +113,7 @@
             folder,
             seeds,
             net,
+            ports,
         };
         fleet.configure(1);
         for zone in zones {
@@ -154,14 +178,24 @@
         fs::write(&settings, self.settings(vm)).map_err(failed)?;
         let log = self.folder.join(format!("{}.log", vm.name));
         let log = File::options().create(true).append(true).open(log).map_err(failed)?;
-        let child = Command::new(PROGRAM)
+        let mut command = Command::new(PROGRAM);
+        command
             .arg("platform")
             .env("GYPSUMKEEL_SETTINGS", &settings)
             .stdin(Stdio::null())
             .stderr(log.try_clone().map_err(failed)?)
             .stdout(log)
-            .spawn()
-            .map_err(failed)?;
+            // In a process group of its own, a stopped VM is not woken when the shell of the trial ends.
+            .process_group(0);
+        // SAFETY: `prctl` may be called between fork and exec.
+        unsafe {
+            command.pre_exec(|| {
+                // The VM ends with the trial, however that ends.
+                prctl(PR_SET_PDEATHSIG, SIGKILL);
+                Ok(())
+            });
+        }
+        let child = command.spawn().map_err(failed)?;
         *vm.child.lock().unwrap() = Some(child);
         self.record.line(&format!("{} is started", vm.name));
         Ok(())
@@ -185,16 +219,16 @@
             vm.name,
             vm.ip,
             vm.zone,
-            at(FRONT),
-            at(READY),
-            at(CONTROL),
+            at(self.ports.front),
+            at(self.ports.ready),
+            at(self.ports.control),
             vm.store
         )
     }
 
     /// Whether the readiness check of a VM succeeds.
     pub fn is_ready(&self, index: usize) -> bool {
-        let reply = self.get(index, READY, "/api/readyz", Duration::from_secs(1));
+        let reply = self.get(index, self.ports.ready, "/api/readyz", Duration::from_secs(1));
         reply.is_ok_and(|reply| reply.status == 200)
     }
 
@@ -260,7 +294,7 @@
         self.record.line(&format!("client sends {method} {id} to {}", vm.name));
         let (path, host, body) = (format!("{PREFIX}{id}"), HOST.to_owned(), body.to_owned());
         let call = Call { method, path, host, patience, tells_deadline, body };
-        let reply = http::call(SocketAddr::new(vm.ip, FRONT), &call);
+        let reply = http::call(SocketAddr::new(vm.ip, self.ports.front), &call);
         let shown = match &reply {
             Ok(reply) => format!("{} {}", reply.status, reply.body),
             Err(reason) => format!("no response: {reason}"),
@@ -323,10 +357,17 @@
     IpAddr::V4(Ipv4Addr::new(127, net[0], net[1], index as u8 + 1))
 }
 
+/// Three neighbouring ports.
+fn ports(random: u32) -> Ports {
+    let span = u32::from(PORTS.end - PORTS.start) - 3;
+    let front = PORTS.start + (random % span) as u16;
+    Ports { front, control: front + 1, ready: front + 2 }
+}
+
 /// Whether the ports of the first VMs, and of some that may be added, are free.
-fn is_free(net: [u8; 2], count: usize) -> bool {
+fn is_free(net: [u8; 2], ports: Ports, count: usize) -> bool {
     (0..count + 4).all(|index| {
-        let ports = [FRONT, CONTROL, READY, METRICS];
+        let ports = [ports.front, ports.control, ports.ready, METRICS];
         ports.iter().all(|&port| TcpListener::bind((ip(net, index), port)).is_ok())
     })
 }
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -10,29 +10,58 @@
 mod store;
 mod worker;
 
+use std::panic::{self, AssertUnwindSafe};
 use std::path::Path;
 use std::process::ExitCode;
 use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
 
 use record::Record;
 
 /// What a trial says of the rule: the ways in which it was broken.
 pub type Verdict = Result<Vec<String>, String>;
 
+/// The time after which a trial is given up.
+const LIMIT: Duration = Duration::from_secs(115);
+
 fn main() -> ExitCode {
     let arguments = std::env::args().collect::<Vec<_>>();
     let [_, name, folder] = &arguments[..] else {
         eprintln!("usage: trial NAME FOLDER");
         return ExitCode::from(2);
     };
+    let record = match Record::new(&Path::new(folder).join("record.txt")) {
+        Ok(record) => Arc::new(record),
+        Err(error) => {
+            eprintln!("{folder}/record.txt: {error}");
+            return ExitCode::from(2);
+        }
+    };
+    let watched = Arc::clone(&record);
+    thread::spawn(move || {
+        thread::sleep(LIMIT);
+        watched.line("the trial could not run: it took too long");
+        // The VMs end with this process.
+        std::process::exit(2);
+    });
+    let verdict = panic::catch_unwind(AssertUnwindSafe(|| play(name, &record)));
+    conclude(&record, verdict.unwrap_or_else(|_| Err("the trial has failed".to_owned())))
+}
+
+/// Plays a trial.
+fn play(name: &str, record: &Arc<Record>) -> Verdict {
     let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
-    let record = Arc::new(Record::new(&Path::new(folder).join("record.txt")));
-    let verdict = match name.as_str() {
-        "cancel-frozen" => cancel::frozen(&record, has_trouble),
-        "cancel-repeated" => cancel::repeated(&record, has_trouble),
-        "cancel-added" => cancel::added(&record, has_trouble),
+    match name {
+        "cancel-frozen" => cancel::frozen(record, has_trouble),
+        "cancel-repeated" => cancel::repeated(record, has_trouble),
+        "cancel-added" => cancel::added(record, has_trouble),
         _ => Err(format!("no trial {name}")),
-    };
+    }
+}
+
+/// Writes the verdict and returns the exit code.
+fn conclude(record: &Record, verdict: Verdict) -> ExitCode {
     match verdict {
         Ok(broken) if broken.is_empty() => {
             record.line("the rule held");
--- a/review/standins-2/record.rs
+++ b/review/standins-2/record.rs
@@ -1,7 +1,7 @@
 //! What a trial has seen: a record of lines with their times, and the runs of all tasks.
 
 use std::fs::File;
-use std::io::Write;
+use std::io::{self, Write};
 use std::path::Path;
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
@@ -34,9 +34,10 @@
 }
 
 impl Record {
-    pub fn new(path: &Path) -> Self {
-        let file = File::create(path).expect("the record can be written");
-        Self { started_at: Instant::now(), file: Mutex::new(file), runs: Mutex::default() }
+    /// Fails if the file can't be written.
+    pub fn new(path: &Path) -> io::Result<Self> {
+        let file = File::create(path)?;
+        Ok(Self { started_at: Instant::now(), file: Mutex::new(file), runs: Mutex::default() })
     }
 
     /// The time since the start of the trial.
