Start nothing in an evacuated failure domain

Change: VMs watch all that the operator writes instead of the configuration alone, with as many calls as before. Evacuated domains are kept with the index of the store at which they were read, and passed on over the links, so a VM that the store refuses, or that starts later, knows them too. Targets there take no new task; what runs goes on; batches that need one more start there move to other VMs. A domain that returns gets one task on each target until one succeeds. Targets that report that they are cold get one task at a time, and what is learnt of them is kept apart. The configuration is decoded only when its entry has changed, no longer at each read.

Tests: evacuation in virtual time, and real processes with VMs that the store refuses, that start later and that are killed.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod configure;
 pub mod contain;
 pub mod dispatch;
+pub mod evacuation;
 pub mod exit;
 pub mod http;
 pub mod invariant;
--- a/src/metrics/names.rs
+++ b/src/metrics/names.rs
@@ -162,6 +162,10 @@
         CpuUnsynced = "targets.cpu_unclear",
         /// Thousandths of a core on owned targets that are draining.
         CpuDraining = "targets.cpu_draining",
+        /// Thousandths of a core on owned targets in evacuated failure domains.
+        CpuEvacuated = "targets.cpu_evacuated",
+        /// Failure domains that the operator has evacuated.
+        DomainsEvacuated = "domains.evacuated",
         /// Milliseconds since the list of targets was last read.
         TargetsAge = "targets.age",
         /// Milliseconds since the routes were applied.
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -63,10 +63,18 @@
 pub struct Platform;
 
 impl Adapter for Platform {
+    fn operator_prefix(&self) -> &'static str {
+        "op/"
+    }
+
     fn routes_key(&self) -> &'static str {
         "op/config"
     }
 
+    fn evacuated_domain<'a>(&self, key: &'a str) -> Option<&'a str> {
+        key.strip_prefix("op/evacuate/").filter(|domain| !domain.is_empty())
+    }
+
     fn targets_prefix(&self) -> &'static str {
         worker::PREFIX
     }
--- a/src/platform/worker.rs
+++ b/src/platform/worker.rs
@@ -7,6 +7,7 @@
 
 use http_types::Method;
 use serde::{Deserialize, Serialize};
+use serde_with::{DefaultOnError, serde_as};
 
 use crate::batch::{Name, Resources};
 use crate::clock::Millis;
@@ -43,6 +44,7 @@
 const INCARNATION_MAX: u64 = (1 << 53) - 1;
 
 /// A worker's entry in the store.
+#[serde_as]
 #[derive(Debug, Deserialize)]
 struct Registration {
     service: String,
@@ -60,6 +62,10 @@
     /// The Unix time in milliseconds at which the process started, which tells its incarnations apart.
     #[serde(default, rename = "born")]
     incarnation: u64,
+    /// How much longer the worker is slow after its start, in milliseconds. The worker is usable without it.
+    #[serde_as(deserialize_as = "DefaultOnError")]
+    #[serde(default, rename = "coldLeftMs")]
+    cold_left_ms: f64,
 }
 
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq)]
@@ -143,6 +149,7 @@
         draining: registration.state == State::Draining,
         checks_capacity: false,
         incarnation: registration.incarnation,
+        cold_left: Millis(registration.cold_left_ms.max(0.0) as u64),
     };
     Ok(Site { listing, address: registration.address })
 }
--- a/src/schedule/admission.rs
+++ b/src/schedule/admission.rs
@@ -97,11 +97,12 @@
         Outcome::Refused { reason: Refusal::Overload, retry_after }
     }
 
-    /// Whether the owned targets could run all tasks of a batch if they were idle.
-    fn could_run(&self, batch: &Batch) -> bool {
+    /// Whether the owned targets that are not evacuated could run all tasks of a batch if they were idle.
+    pub(super) fn could_run(&self, batch: &Batch) -> bool {
         batch.spec.steps.iter().all(|step| {
             self.targets.iter().any(|target| {
                 target.phase == Phase::Owned
+                    && !target.evacuated
                     && target.listing.service == batch.spec.service
                     && target.listing.capacity.fits(&step.need)
                     && has_label(target, step)
--- a/src/schedule/call.rs
+++ b/src/schedule/call.rs
@@ -70,7 +70,7 @@
         let expected = self.expected(&spec, step);
         let target = &self.targets[index];
         let far = is_far(step.near_rack.as_deref(), target.listing.rack.as_deref());
-        let slowness = target.slowness;
+        let (slowness, cold) = (target.slowness, target.warmup.is_listed_cold(now));
         let factor = if far { self.rules.far_factor } else { 1.0 };
         let target = &mut self.targets[index];
         target.lapses_at = target.lapses_at.max(lapses_at);
@@ -87,6 +87,7 @@
             expected: scaled(expected, slowness * factor),
             declared: step.estimate,
             far,
+            cold,
             slowness,
             sent_seq: self.sequence,
             overdue: false,
--- a/src/schedule/capacity.rs
+++ b/src/schedule/capacity.rs
@@ -18,6 +18,8 @@
     pub unsynced: u64,
     /// Free cores of targets that are draining.
     pub draining: u64,
+    /// Free cores of targets in evacuated failure domains.
+    pub evacuated: u64,
 }
 
 /// Counts of endangered and lapsed leases on a VM's targets, since the VM's start.
@@ -46,7 +48,9 @@
 
 /// The field that counts the target's free cores.
 fn free_field<'a>(target: &Target, now: Millis, capacity: &'a mut Capacity) -> &'a mut u64 {
-    if target.listing.draining {
+    if target.evacuated {
+        &mut capacity.evacuated
+    } else if target.listing.draining {
         &mut capacity.draining
     } else if target.health.ejected_until > now {
         &mut capacity.ejected
--- a/src/schedule/completion.rs
+++ b/src/schedule/completion.rs
@@ -57,10 +57,14 @@
             far_factor: if attempt.far { self.rules.far_factor } else { 1.0 },
             slowness: attempt.slowness,
         };
-        let target = &mut self.targets[index];
-        let kind = target.listing.labels.first();
-        self.speeds.learn(&mut target.speed, kind, &batch.spec.queue, sample);
-        target.slowness = self.speeds.slowness(&target.speed, target.kind());
+        if attempt.cold {
+            self.speeds.learn_cold(sample.measured, attempt.expected);
+        } else {
+            let target = &mut self.targets[index];
+            let kind = target.listing.labels.first();
+            self.speeds.learn(&mut target.speed, kind, &batch.spec.queue, sample);
+        }
+        self.update_slowness(now, index);
     }
 
     fn complete_task(
@@ -72,6 +76,7 @@
     ) {
         let Some(batch) = self.batches.get_mut(&attempt.batch) else { return };
         self.targets[index].health.record_success();
+        self.targets[index].warmup.record_success();
         if batch.complete(attempt.task) {
             self.end(attempt.batch, Outcome::Done, actions);
         } else {
--- a/src/schedule/engine.rs
+++ b/src/schedule/engine.rs
@@ -1,6 +1,6 @@
 //! The engine: takes events, keeps the state that one VM's decisions depend on, and returns actions.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 
 use crate::batch::{Outcome, Spec, Step};
@@ -37,6 +37,8 @@
     pub(super) token: Fence,
     pub(super) targets: Vec<Target>,
     pub(super) index_by_id: HashMap<Arc<str>, usize>,
+    /// The failure domains on whose targets nothing may start.
+    pub(super) evacuated: BTreeSet<Arc<str>>,
     pub(super) batches: BTreeMap<BatchId, Batch>,
     pub(super) history: History,
     pub(super) queue: Queue,
@@ -67,6 +69,7 @@
             token: Fence::new(process),
             targets: Vec::new(),
             index_by_id: HashMap::new(),
+            evacuated: BTreeSet::new(),
             batches: BTreeMap::new(),
             history: History::default(),
             queue: Queue::default(),
@@ -96,6 +99,7 @@
                 self.abandon(batch, actions);
             }
             Event::Targets(listings) => self.update_targets(now, listings, actions),
+            Event::Evacuated(domains) => self.evacuate(now, domains, actions),
             Event::Acquire { target, round } => self.acquire(now, &target, round, actions),
             Event::CancelAcquire { target } => self.cancel_acquire(&target, actions),
             Event::Reply { call, reply } => self.handle_reply(now, call, reply, actions),
@@ -228,8 +232,7 @@
 
     fn tick(&mut self, now: Millis, actions: &mut Vec<Action>) {
         for index in 0..self.targets.len() {
-            let target = &mut self.targets[index];
-            target.slowness = self.speeds.slowness(&target.speed, target.kind());
+            self.update_slowness(now, index);
             self.drop_lapsed(now, index);
             self.release_unlisted(now, index, actions);
             self.release_idle(index, actions);
@@ -241,8 +244,9 @@
     }
 
     /// Ends the batches that are past their deadline, and those that have no attempt running while no target is left.
-    fn expire(&mut self, now: Millis, actions: &mut Vec<Action>) {
-        let has_targets = self.targets.iter().any(|target| target.phase != Phase::Unowned);
+    pub(super) fn expire(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        let may_start = |target: &Target| target.phase != Phase::Unowned && !target.evacuated;
+        let has_targets = self.targets.iter().any(may_start);
         let attempts = self.targets.iter().flat_map(|target| &target.attempts);
         let running = attempts.map(|attempt| attempt.batch).collect::<HashSet<_>>();
         let mut ended = Vec::new();
--- a/src/schedule/event.rs
+++ b/src/schedule/event.rs
@@ -1,5 +1,6 @@
 //! The events that the scheduler takes and the actions that it returns.
 
+use std::collections::BTreeSet;
 use std::fmt;
 use std::sync::Arc;
 
@@ -48,6 +49,8 @@
     pub checks_capacity: bool,
     /// The target's incarnation, which rises with each restart under the same id.
     pub incarnation: u64,
+    /// How much longer the target is cold: its tasks last longer than usual.
+    pub cold_left: Millis,
 }
 
 /// An input of the scheduler.
@@ -71,6 +74,8 @@
     },
     /// The store lists these targets.
     Targets(Vec<Listing>),
+    /// The operator has evacuated these failure domains and no others.
+    Evacuated(BTreeSet<Arc<str>>),
     /// A target is to be acquired. The former owner's round is at least `round`.
     Acquire {
         /// The target.
--- a/src/schedule/listing.rs
+++ b/src/schedule/listing.rs
@@ -28,7 +28,10 @@
                 self.update_listing(now, index, listing, actions);
             } else {
                 self.index_by_id.insert(Arc::clone(&listing.id), self.targets.len());
-                self.targets.push(Target::new(listing, self.token));
+                let mut target = Target::new(listing, self.token);
+                target.evacuated = self.evacuated.contains(&target.listing.domain);
+                target.warmup.record_listing(now, &target.listing);
+                self.targets.push(target);
             }
         }
         self.needs_placement = true;
@@ -43,6 +46,8 @@
     ) {
         let target = &mut self.targets[index];
         target.unlisted_since = None;
+        target.evacuated = self.evacuated.contains(&listing.domain);
+        target.warmup.record_listing(now, &listing);
         let may_have_restarted = listing.incarnation != target.incarnation;
         target.listing = listing;
         // Another writer may have left the entry, so only the target's own report shows that its attempts are gone.
@@ -73,9 +78,9 @@
         target.foreign.clear();
         target.health = Health::default();
         target.speed = Mean::default();
-        target.slowness = self.speeds.slowness(&target.speed, target.kind());
         target.unsynced = true;
         target.next_poll_at = now;
+        self.update_slowness(now, index);
         self.reconcile(now, index, actions);
     }
 
--- a/src/schedule/mod.rs
+++ b/src/schedule/mod.rs
@@ -10,6 +10,7 @@
 mod capacity;
 mod completion;
 mod engine;
+mod evacuation;
 mod event;
 mod fence;
 mod history;
@@ -21,6 +22,7 @@
 mod speed;
 mod stall;
 mod target;
+mod warmup;
 
 pub use capacity::{Capacity, Leases};
 pub use engine::Engine;
--- a/src/schedule/speed.rs
+++ b/src/schedule/speed.rs
@@ -40,6 +40,8 @@
 pub(super) struct Speeds {
     kinds: HashMap<String, Mean>,
     queues: HashMap<Arc<str>, Mean>,
+    /// The logarithms of how much longer tasks last on cold targets than on warm ones.
+    cold: Mean,
 }
 
 impl Speeds {
@@ -58,6 +60,17 @@
         Millis(value.exp().ceil() as u64).clamp(Millis(1), EXPECTED_MAX)
     }
 
+    /// How much longer than usual tasks last on cold targets, as a factor.
+    pub fn cold_factor(&self) -> f64 {
+        self.cold.value.exp().max(1.0)
+    }
+
+    /// Adds the duration of a task that is done on a cold target, which was expected to take `expected`.
+    pub fn learn_cold(&mut self, measured: Millis, expected: Millis) {
+        let ratio = self.cold.value + log(measured) - log(expected);
+        self.cold.add(ratio, TARGET_GAIN_MIN);
+    }
+
     /// Adds the duration of a task that is done to the means of its target, of the target's kind and of its queue.
     pub fn learn(
         &mut self,
--- a/src/schedule/stall.rs
+++ b/src/schedule/stall.rs
@@ -47,8 +47,10 @@
         if target.phase != Phase::Owned || target.unsynced {
             return;
         }
-        let is_stalled =
-            |attempt: &&Attempt| attempt.state == State::Running && is_stalled(now, attempt);
+        let is_cold = target.warmup.is_cold(now);
+        let is_stalled = |attempt: &&Attempt| {
+            attempt.state == State::Running && is_stalled(now, attempt, is_cold)
+        };
         let stalled = target.attempts.iter().filter(is_stalled);
         let stalled =
             stalled.map(|attempt| (attempt.name.clone(), attempt.number)).collect::<Vec<_>>();
@@ -65,14 +67,14 @@
     }
 }
 
-/// Whether an attempt has made no progress for too long, or is projected to last far longer than expected. The
-/// progress must be current, so call this only just after a poll.
-fn is_stalled(now: Millis, attempt: &Attempt) -> bool {
+/// Whether an attempt has made no progress for too long, or is projected to last far longer than expected, as it may on a
+/// cold target. The progress must be current, so call this only just after a poll.
+fn is_stalled(now: Millis, attempt: &Attempt, is_cold: bool) -> bool {
     let elapsed = now - attempt.sent_at;
     let unchanged = now - attempt.progress.reached_at.max(attempt.sent_at);
     let has_stalled = unchanged > STALL_MIN.max(scaled(attempt.expected, STALL_FACTOR));
     let projected = elapsed.0 * 100 / u64::from(attempt.progress.percent.max(1));
     let is_slow =
         elapsed > SLOW_MIN && Millis(projected) > scaled(attempt.expected, SLOW_FACTOR) + SLOW_MIN;
-    has_stalled || is_slow
+    has_stalled || (is_slow && !is_cold)
 }
--- a/src/schedule/target.rs
+++ b/src/schedule/target.rs
@@ -7,6 +7,7 @@
 use super::fence::Fence;
 use super::speed::Mean;
 use super::stall::Progress;
+use super::warmup::Warmup;
 
 /// Failures of different batches with no success between, after which a target is ejected.
 const FAILURE_STREAK_MAX: u32 = 2;
@@ -46,6 +47,9 @@
 #[derive(Debug)]
 pub(super) struct Target {
     pub listing: Listing,
+    /// Whether the target's failure domain is evacuated, so that nothing may start here.
+    pub evacuated: bool,
+    pub warmup: Warmup,
     /// Since when the store does not list the target; `None` while it does.
     pub unlisted_since: Option<Millis>,
     /// The latest known incarnation, which may be ahead of the listing's.
@@ -114,6 +118,8 @@
     pub expected: Millis,
     pub declared: Millis,
     pub far: bool,
+    /// Whether the target was cold when the start was sent.
+    pub cold: bool,
     pub slowness: f64,
     /// The event sequence when the start was sent.
     pub sent_seq: u64,
@@ -148,6 +154,8 @@
             incarnation_seq: 0,
             doubted_seq: None,
             listing,
+            evacuated: false,
+            warmup: Warmup::default(),
             unlisted_since: None,
             phase: Phase::Unowned,
             fence,
@@ -176,14 +184,16 @@
 
     /// Whether new tasks may be sent here if their resources fit.
     pub fn is_usable(&self, now: Millis) -> bool {
-        self.is_healthy(now) && (!self.health.on_probation || self.attempts.is_empty())
+        let is_limited = self.health.on_probation || self.warmup.is_cold(now);
+        self.is_healthy(now) && (!is_limited || self.attempts.is_empty())
     }
 
-    /// Whether the target is owned, synced and not ejected.
+    /// Whether the target is owned, synced and neither ejected nor evacuated.
     pub fn is_healthy(&self, now: Millis) -> bool {
         self.phase == Phase::Owned
             && !self.unsynced
             && !self.listing.draining
+            && !self.evacuated
             && self.foreign.is_empty()
             && !self.has_overdue_stop(now)
             && self.incarnation == self.listing.incarnation
--- a/src/serve/calls.rs
+++ b/src/serve/calls.rs
@@ -70,7 +70,8 @@
         Notification::Versions(versions) => node.fetch_newer(from, versions),
         Notification::Abandon { .. }
         | Notification::Ownership(_)
-        | Notification::Utilization(_) => {
+        | Notification::Utilization(_)
+        | Notification::Evacuation(_) => {
             event!(debug, "note-ignored", reason = "this VM owns no leased targets");
         }
     }
--- a/src/vm/adapter.rs
+++ b/src/vm/adapter.rs
@@ -16,9 +16,15 @@
 
 /// Decodes the platform's entries in the store, and connects to its targets.
 pub trait Adapter: fmt::Debug + Send + Sync {
+    /// The prefix of the keys that the operator writes in the store.
+    fn operator_prefix(&self) -> &str;
+
     /// The key of the configuration in the store.
     fn routes_key(&self) -> &str;
 
+    /// The failure domain whose evacuation an operator's key requests; `None` for other keys.
+    fn evacuated_domain<'a>(&self, key: &'a str) -> Option<&'a str>;
+
     /// The prefix of the keys that list targets in the store.
     fn targets_prefix(&self) -> &str;
 
--- a/src/vm/announce.rs
+++ b/src/vm/announce.rs
@@ -42,6 +42,7 @@
     pub(super) fn announce_to(&self, link: &Link) {
         link.notify(self.ownership_announcement());
         link.notify(Notification::Utilization(self.load_announcement()));
+        self.announce_evacuation(link);
     }
 
     /// Announces the load of the targets whenever it has changed, until the process ends.
--- a/src/vm/core.rs
+++ b/src/vm/core.rs
@@ -8,6 +8,7 @@
 
 use crate::batch::{Outcome, Spec};
 use crate::clock::{Clock, Millis};
+use crate::evacuation::Evacuation;
 use crate::event;
 use crate::job::Incarnation;
 use crate::ownership::{Ownership, Presence};
@@ -19,6 +20,8 @@
 pub(super) struct Core {
     pub engine: Engine,
     pub ownership: Ownership,
+    /// The evacuated failure domains.
+    pub evacuation: Evacuation,
     /// The last announced load of each other VM.
     pub loads: BTreeMap<Incarnation, PeerLoad>,
     /// The highest round of a fencing token that any VM has announced or stored.
@@ -152,6 +155,7 @@
         Self {
             engine,
             ownership,
+            evacuation: Evacuation::default(),
             loads: BTreeMap::new(),
             round: 0,
             waiters: HashMap::new(),
--- a/src/vm/follow.rs
+++ b/src/vm/follow.rs
@@ -1,15 +1,17 @@
-//! Watches the configuration, the targets and the other VMs' registrations in the store.
+//! Watches the configuration, the evacuations, the targets and the other VMs' registrations in the store.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
 use smol::Timer;
 
 use crate::clock::Millis;
+use crate::evacuation::Evacuation;
 use crate::event;
 use crate::membership;
 use crate::metrics::Gauge;
-use crate::store::{Cursor, Decoder};
+use crate::store::{Cursor, Decoder, Entry, Index, Read};
 
 use super::adapter::Site;
 use super::node::Node;
@@ -32,16 +34,15 @@
 pub const TARGETS_PAUSE: Millis = Millis(1200);
 
 impl Node {
-    /// Watches the configuration until the process ends.
-    pub(super) async fn follow_routes(self: Arc<Self>) {
+    /// Watches what the operator writes, the configuration and the evacuations, until the process ends.
+    pub(super) async fn follow_operator(self: Arc<Self>) {
         let mut cursor = Cursor::new("routes");
+        let prefix = self.adapter.operator_prefix();
+        let mut routes_index = 0;
         loop {
-            let read =
-                self.store.watch(self.adapter.routes_key(), cursor.index(), ROUTES_WAIT).await;
+            let read = self.store.list(prefix, cursor.index(), ROUTES_WAIT).await;
             let index = read.map(|read| {
-                if let Some(entry) = read.value.filter(|_| read.index != cursor.index()) {
-                    self.apply_routes(&entry.value, "store");
-                }
+                self.apply_operator_entries(&read, &mut routes_index);
                 self.routes_read_at.store(self.now().0, Ordering::Relaxed);
                 read.index
             });
@@ -50,6 +51,24 @@
         }
     }
 
+    /// Applies the operator's entries. A configuration is decoded only if its entry has changed since `routes_index`, as
+    /// the index of a read rises with every change in the store.
+    fn apply_operator_entries(
+        self: &Arc<Self>,
+        read: &Read<Vec<Entry>>,
+        routes_index: &mut Index,
+    ) {
+        let mut domains = BTreeSet::new();
+        for entry in &read.value {
+            if entry.key == self.adapter.routes_key() && entry.index != *routes_index {
+                *routes_index = entry.index;
+                self.apply_routes(&entry.value, "store");
+            }
+            domains.extend(self.adapter.evacuated_domain(&entry.key).map(Arc::from));
+        }
+        self.record_evacuation(&Evacuation { index: read.index, domains });
+    }
+
     /// Watches the target list until the process ends.
     ///
     /// Each target rewrites its entry regularly as a heartbeat, so a watch returns almost at once. The pause between
--- a/src/vm/meter.rs
+++ b/src/vm/meter.rs
@@ -15,10 +15,11 @@
 
     fn update_gauges(&self) {
         let now = self.now();
-        let (load, capacity, owned, waiting) = {
-            let engine = &self.lock().engine;
+        let (load, capacity, owned, waiting, evacuated) = {
+            let core = self.lock();
+            let (engine, evacuated) = (&core.engine, core.evacuation.domains.len());
             let owned = engine.owned().count();
-            (engine.load(now), engine.capacity(now), owned, engine.waiting())
+            (engine.load(now), engine.capacity(now), owned, engine.waiting(), evacuated)
         };
         for (gauge, level) in [
             (Gauge::TargetsOwned, owned as u64),
@@ -27,6 +28,8 @@
             (Gauge::CpuEjected, capacity.ejected),
             (Gauge::CpuUnsynced, capacity.unsynced),
             (Gauge::CpuDraining, capacity.draining),
+            (Gauge::CpuEvacuated, capacity.evacuated),
+            (Gauge::DomainsEvacuated, evacuated as u64),
             (Gauge::TargetsAge, self.age(&self.targets_read_at).0),
             (Gauge::RoutesAge, self.age(&self.routes_applied_at).0),
             (Gauge::RoutesReadAge, self.age(&self.routes_read_at).0),
--- a/src/vm/mod.rs
+++ b/src/vm/mod.rs
@@ -8,6 +8,7 @@
 mod calls;
 mod cancel;
 mod core;
+mod evacuation;
 mod follow;
 mod meter;
 mod node;
--- a/src/vm/peers.rs
+++ b/src/vm/peers.rs
@@ -67,6 +67,7 @@
             }),
             Notification::Ownership(ownership) => self.record_ownership(from, &ownership),
             Notification::Utilization(utilization) => self.record_load(from, utilization),
+            Notification::Evacuation(evacuation) => self.receive_evacuation(from, &evacuation),
             Notification::Slots(_) | Notification::Versions(_) => {
                 event!(
                     debug,
--- a/src/vm/start.rs
+++ b/src/vm/start.rs
@@ -121,7 +121,7 @@
     runtime::spawn(Arc::clone(&node.links).listen(peers, Arc::clone(&handler))).detach();
     runtime::spawn(keep_lease(Arc::clone(&node))).detach();
     runtime::spawn(Arc::clone(&node).keep_round()).detach();
-    runtime::spawn(Arc::clone(&node).follow_routes()).detach();
+    runtime::spawn(Arc::clone(&node).follow_operator()).detach();
     runtime::spawn(Arc::clone(&node).fetch_routes()).detach();
     runtime::spawn(Arc::clone(&node).follow_targets()).detach();
     runtime::spawn(Arc::clone(&node).follow_members()).detach();
--- a/src/vm/status.rs
+++ b/src/vm/status.rs
@@ -26,6 +26,9 @@
     batches: usize,
     load: Load,
     routes: Routes,
+    /// The failure domains that the operator has evacuated.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    evacuated: Vec<Arc<str>>,
     /// The time since the list of targets was read.
     targets_age: Millis,
     store: Calls,
@@ -92,6 +95,7 @@
                 count: routes.len(),
                 age: self.age(&self.routes_applied_at),
             },
+            evacuated: core.evacuation.domains.iter().map(Arc::clone).collect(),
             targets_age: self.age(&self.targets_read_at),
             store: self.store.calls(),
             peers: peers(&core, now),
--- a/src/wire/frame.rs
+++ b/src/wire/frame.rs
@@ -11,6 +11,7 @@
 use crate::config::Update;
 use crate::contain;
 use crate::dispatch::{AttemptId, Delegation, DelegationId, Report, SlotMessage};
+use crate::evacuation::Evacuation;
 use crate::job::{Incarnation, Key, Outcome, Spec};
 use crate::membership::{self, View};
 use crate::ownership::Quota;
@@ -200,6 +201,8 @@
     /// The load of the targets that the sender owns.
     #[serde(rename = "Busy")]
     Utilization(Utilization),
+    /// The failure domains that the operator has evacuated.
+    Evacuation(Evacuation),
 }
 
 /// The targets that a VM owns.
--- a/tests/partial.rs
+++ b/tests/partial.rs
@@ -12,6 +12,7 @@
 use gypsumkeel::store::FIRST_PAUSE_MAX;
 use gypsumkeel::vm::{ROUTES_WAIT, TARGETS_PAUSE, TARGETS_PAUSE_OWNER, TARGETS_WAIT};
 use platform::{Env, Reply, Way, wait_until};
+use serde_json::json;
 
 /// The time within which a VM that the store does not serve gets a new configuration from the other VMs.
 const CONFIG_DELAY_MAX: Duration = Duration::from_secs(2);
@@ -221,3 +222,35 @@
     assert!(replies.iter().all(|reply| is_done(reply.as_ref())), "{replies:?}");
     env.check();
 }
+
+/// Guards against starts in an evacuated domain by a VM that the store refuses, that starts later, or that takes the
+/// targets over from an owner that is killed meanwhile.
+#[test]
+fn an_evacuation_reaches_vms_without_the_store_and_new_ones() {
+    let mut env = Env::start(2, 2);
+    env.wait_for_stable_ownership();
+    for vm in [0, 1] {
+        env.store_proxies[vm].refuse(true);
+        env.store_proxies[vm].reset();
+    }
+    env.store.put("op/evacuate/a", &json!({}));
+    let knows = |env: &Env, vm: usize| env.status(vm)["evacuated"] == json!(["a"]);
+    wait_until("all VMs know of the evacuation", || (0..4).all(|vm| knows(&env, vm)));
+    env.store_proxies.iter().for_each(platform::Proxy::heal);
+    let new = env.add("a");
+    wait_until("the new VM knows of the evacuation", || knows(&env, new));
+    let starts = |env: &Env| env.workers[..2].iter().map(|worker| worker.starts()).sum::<u64>();
+    let before = starts(&env);
+    let replies = env.load(&[1, 2, 3, new], 4, after(Duration::from_secs(2)));
+    assert!(replies.iter().all(|reply| is_done(reply.as_ref())), "{replies:?}");
+    env.vms[0].kill();
+    let replies = env.load(&[1, 2, 3, new], 4, after(Duration::from_secs(3)));
+    assert!(replies.iter().any(|reply| is_done(reply.as_ref())), "{replies:?}");
+    assert_eq!(starts(&env), before, "a task started in the evacuated domain");
+    env.store.remove("op/evacuate/a");
+    wait_until("tasks start again in the domain", || {
+        env.load(&[1, new], 4, after(Duration::from_millis(200)));
+        starts(&env) > before
+    });
+    env.check();
+}
--- a/tests/platform/worker.rs
+++ b/tests/platform/worker.rs
@@ -101,6 +101,8 @@
     is_replaced: bool,
     /// The number of calls meant for this worker.
     calls: u64,
+    /// The number of attempts started on this worker.
+    starts: u64,
     /// If set, starts get no response and take effect after this delay.
     delay: Option<Duration>,
 }
@@ -137,6 +139,7 @@
             silent: false,
             is_replaced: false,
             calls: 0,
+            starts: 0,
             delay: None,
         };
         let state = Arc::new(Mutex::new(state));
@@ -207,6 +210,11 @@
         self.state.lock().unwrap().calls
     }
 
+    /// The number of attempts started on this worker so far.
+    pub fn starts(&self) -> u64 {
+        self.state.lock().unwrap().starts
+    }
+
     /// Carries out starts after a delay and without a response; `None` restores normal service.
     pub fn delay_starts(&self, delay: Option<Duration>) {
         self.state.lock().unwrap().delay = delay;
@@ -361,6 +369,7 @@
         let ends_at = started_at + duration;
         let attempt = Attempt { task, number, cpu, started_at, ends_at, stops_at: None, fence };
         self.ledger.start(&self.id, &attempt);
+        self.starts += 1;
         self.running.push(attempt);
         self.answer(200, None)
     }
--- a/tests/schedule.rs
+++ b/tests/schedule.rs
@@ -1,6 +1,8 @@
 //! Tests of the scheduler of leased targets in virtual time: what it starts where and when. The model's targets check
 //! that no fault makes a task run twice, without free resources, before the steps it depends on or after a drain.
 
+#[path = "schedule/evacuation.rs"]
+mod evacuation;
 #[path = "schedule/load/mod.rs"]
 mod load;
 #[path = "schedule/model.rs"]
@@ -646,7 +648,7 @@
     let mut most = Capacity::default();
     for now in (100..4000).step_by(50) {
         model.run(now);
-        let Capacity { free, used, ejected, unsynced, draining } =
+        let Capacity { free, used, ejected, unsynced, draining, evacuated: _ } =
             model.engines[0].capacity(Millis(now));
         assert_eq!(free + used + ejected + unsynced + draining, 4 * 16_000, "at {now} ms");
         most.free = most.free.max(free);
@@ -655,7 +657,7 @@
         most.unsynced = most.unsynced.max(unsynced);
         most.draining = most.draining.max(draining);
     }
-    let Capacity { free, used, ejected, unsynced, draining } = most;
+    let Capacity { free, used, ejected, unsynced, draining, evacuated: _ } = most;
     assert!([free, used, ejected, unsynced, draining].iter().all(|&cpu| cpu > 0), "{most:?}");
 }
 
--- a/tests/schedule/model.rs
+++ b/tests/schedule/model.rs
@@ -197,6 +197,7 @@
         draining: false,
         checks_capacity: false,
         incarnation: 1,
+        cold_left: Millis::ZERO,
     }
 }
 
