Tell a long task from a slow target

Cause: a task that lasts over three times as long as expected was stopped and its target ejected. Where three tasks in a hundred last seven times the mean, as on the uneven site, most of what was stopped was a long task: its work was thrown away, and it was as long on the next target, whose ejection took sound capacity out of use.

Change: a task that looks slow on a second target, or beside a sound task, is long. Queues are known for long tasks once most tasks that looked slow turned out to be long; their tasks then run on, unless three batches in a row look slow on a target. Long tasks don't count in their targets' speed. A queue without such tasks is treated as before.

--- a/src/schedule/admission.rs
+++ b/src/schedule/admission.rs
@@ -114,7 +114,7 @@
     pub(super) fn has_duplicate(&self, own: BatchId, id: &str) -> bool {
         self.targets.iter().any(|target| {
             let is_duplicate = |attempt: &Attempt| {
-                (attempt.orphan || attempt.batch != own) && &*attempt.name.job == id
+                (attempt.is_orphan() || attempt.batch != own) && &*attempt.name.job == id
             };
             target.attempts.iter().any(is_duplicate)
                 || target.foreign.iter().any(|(name, _)| &*name.job == id)
--- a/src/schedule/batch.rs
+++ b/src/schedule/batch.rs
@@ -53,6 +53,8 @@
     pub failures: u32,
     /// The index of the target on which the task failed last.
     pub failed_on: Option<usize>,
+    /// The index of the target on which the task was stopped as slow.
+    pub slow_on: Option<usize>,
     pub done: bool,
 }
 
@@ -86,6 +88,7 @@
                     attempt: 0,
                     failures: 0,
                     failed_on: None,
+                    slow_on: None,
                     done: false,
                 };
                 tasks.push(task);
--- a/src/schedule/call.rs
+++ b/src/schedule/call.rs
@@ -92,8 +92,7 @@
             sent_seq: self.sequence,
             overdue: false,
             confirmed_seq: 0,
-            orphan: false,
-            orphaned_at: Millis::ZERO,
+            orphaned_at: None,
             progress: Progress::default(),
         });
         let target = Arc::clone(&target.listing.id);
@@ -130,11 +129,10 @@
         for index in 0..self.targets.len() {
             let attempts = &mut self.targets[index].attempts;
             let of_batch =
-                attempts.iter_mut().filter(|attempt| attempt.batch == id && !attempt.orphan);
+                attempts.iter_mut().filter(|attempt| attempt.batch == id && !attempt.is_orphan());
             let mut to_stop = Vec::new();
             for attempt in of_batch {
-                attempt.orphan = true;
-                attempt.orphaned_at = self.now;
+                attempt.orphaned_at = Some(self.now);
                 if matches!(attempt.state, State::Sent | State::Running) {
                     to_stop.push((attempt.name.clone(), attempt.number));
                 }
--- a/src/schedule/completion.rs
+++ b/src/schedule/completion.rs
@@ -9,6 +9,7 @@
 use super::engine::Engine;
 use super::event::{Action, BatchId, Ending, Trouble};
 use super::speed::Sample;
+use super::stall::is_slow;
 use super::target::{Attempt, Phase};
 
 impl Engine {
@@ -28,7 +29,7 @@
         self.needs_placement = true;
         let Some(position) = target.find(name, number) else { return };
         let attempt = target.attempts.swap_remove(position);
-        if attempt.orphan {
+        if attempt.is_orphan() {
             return;
         }
         match ending {
@@ -51,18 +52,24 @@
     /// Learns from the duration of an attempt.
     fn learn(&mut self, now: Millis, index: usize, attempt: &Attempt) {
         let Some(batch) = self.batches.get(&attempt.batch) else { return };
+        let queue = Arc::clone(&batch.spec.queue);
         let sample = Sample {
             measured: now - attempt.sent_at,
             declared: attempt.declared,
             far_factor: if attempt.far { self.rules.far_factor } else { 1.0 },
             slowness: attempt.slowness,
         };
+        self.record_pace(index, attempt, sample.measured);
+        let looks_slow = is_slow(sample.measured, attempt.expected);
+        if looks_slow && self.tails.is_likely_long(&queue) {
+            return;
+        }
         if attempt.cold {
             self.speeds.learn_cold(sample.measured, attempt.expected);
         } else {
             let target = &mut self.targets[index];
             let kind = target.listing.labels.first();
-            self.speeds.learn(&mut target.speed, kind, &batch.spec.queue, sample);
+            self.speeds.learn(&mut target.speed, kind, &queue, sample);
         }
         self.update_slowness(now, index);
     }
@@ -155,7 +162,7 @@
     /// Makes the task of a dropped attempt ready again, unless its batch is gone.
     pub(super) fn requeue(&mut self, now: Millis, attempt: &Attempt) {
         self.needs_placement = true;
-        if attempt.orphan {
+        if attempt.is_orphan() {
             return;
         }
         if let Some(batch) = self.batches.get_mut(&attempt.batch) {
--- a/src/schedule/engine.rs
+++ b/src/schedule/engine.rs
@@ -16,6 +16,7 @@
 use super::latency::Latency;
 use super::queue::{Queue, time_for};
 use super::speed::Speeds;
+use super::tail::Tails;
 use super::target::{Phase, Target};
 
 /// The time between ticks while anything waits or runs.
@@ -45,6 +46,8 @@
     /// The arrival rate of batches that can meet their objective.
     pub(super) arrivals: Arrivals,
     pub(super) speeds: Speeds,
+    /// The queues whose tasks are long at times.
+    pub(super) tails: Tails,
     pub(super) calls: HashMap<CallId, Call>,
     /// The response time of targets to start calls.
     pub(super) start_latency: Latency,
@@ -75,6 +78,7 @@
             queue: Queue::default(),
             arrivals: Arrivals::default(),
             speeds: Speeds::default(),
+            tails: Tails::default(),
             calls: HashMap::new(),
             start_latency: Latency::default(),
             next_call: 1,
--- a/src/schedule/evacuation.rs
+++ b/src/schedule/evacuation.rs
@@ -46,8 +46,7 @@
 
     /// Stops the attempts of a batch, so that another VM can run it from its first step once they have ended.
     fn stop_attempts(&mut self, id: BatchId, actions: &mut Vec<Action>) {
-        let is_active =
-            |attempt: &&Attempt| matches!(attempt.state, State::Sent | State::Running);
+        let is_active = |attempt: &&Attempt| matches!(attempt.state, State::Sent | State::Running);
         let mut active = Vec::new();
         for (index, target) in self.targets.iter().enumerate() {
             let attempts = target.attempts.iter().filter(|attempt| attempt.batch == id);
--- a/src/schedule/mod.rs
+++ b/src/schedule/mod.rs
@@ -21,6 +21,7 @@
 mod queue;
 mod speed;
 mod stall;
+mod tail;
 mod target;
 mod warmup;
 
--- a/src/schedule/poll.rs
+++ b/src/schedule/poll.rs
@@ -305,7 +305,7 @@
         for listed in running {
             if let Some(position) = target.find(&listed.name, listed.attempt) {
                 let attempt = &target.attempts[position];
-                if attempt.orphan && attempt.state == State::Running {
+                if attempt.is_orphan() && attempt.state == State::Running {
                     strays.push((listed.name.clone(), listed.attempt));
                 }
                 continue;
--- a/src/schedule/target.rs
+++ b/src/schedule/target.rs
@@ -84,6 +84,8 @@
     /// When all attempts have surely lapsed if no lease is renewed.
     pub lapses_at: Millis,
     pub health: Health,
+    /// The batches with tasks that looked slow here, with no usual task between.
+    pub slow_batches: Vec<BatchId>,
     /// The logarithms of this target's own slowness.
     pub speed: Mean,
     /// How much longer than declared tasks last here, as a factor, updated at each tick and completion.
@@ -127,13 +129,18 @@
     pub overdue: bool,
     /// The event sequence when the target confirmed the state; 0 if it never did.
     pub confirmed_seq: u64,
-    /// Whether the batch is gone, so that nobody waits for the attempt.
-    pub orphan: bool,
-    /// When the batch went; meaningless unless `orphan`.
-    pub orphaned_at: Millis,
+    /// When the batch went, since which nobody waits for the attempt; `None` while the batch is there.
+    pub orphaned_at: Option<Millis>,
     pub progress: Progress,
 }
 
+impl Attempt {
+    /// Whether nobody waits for the attempt.
+    pub const fn is_orphan(&self) -> bool {
+        self.orphaned_at.is_some()
+    }
+}
+
 /// The state of an attempt.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum State {
@@ -172,6 +179,7 @@
             last_snapshot_at: Millis::ZERO,
             lapses_at: Millis::ZERO,
             health: Health::default(),
+            slow_batches: Vec::new(),
             speed: Mean::default(),
             slowness: 1.0,
         }
@@ -205,7 +213,7 @@
     /// then, as a renewal extends it too.
     pub fn has_overdue_stop(&self, now: Millis) -> bool {
         let is_overdue =
-            |attempt: &Attempt| attempt.orphan && now - attempt.orphaned_at > STOP_WAIT_MAX;
+            |attempt: &Attempt| attempt.orphaned_at.is_some_and(|at| now - at > STOP_WAIT_MAX);
         self.attempts.iter().any(is_overdue)
     }
 
--- a/src/vm/evacuation.rs
+++ b/src/vm/evacuation.rs
@@ -27,11 +27,7 @@
     }
 
     /// Records the evacuated domains that another VM knows.
-    pub(super) fn receive_evacuation(
-        self: &Arc<Self>,
-        from: Incarnation,
-        evacuation: &Evacuation,
-    ) {
+    pub(super) fn receive_evacuation(self: &Arc<Self>, from: Incarnation, evacuation: &Evacuation) {
         self.adopt_evacuation(evacuation, &self.name_of_peer(from));
         let known = self.lock().evacuation.clone();
         if known.supersedes(evacuation)
--- a/src/vm/follow.rs
+++ b/src/vm/follow.rs
@@ -53,11 +53,7 @@
 
     /// Applies the operator's entries. A configuration is decoded only if its entry has changed since `routes_index`, as
     /// the index of a read rises with every change in the store.
-    fn apply_operator_entries(
-        self: &Arc<Self>,
-        read: &Read<Vec<Entry>>,
-        routes_index: &mut Index,
-    ) {
+    fn apply_operator_entries(self: &Arc<Self>, read: &Read<Vec<Entry>>, routes_index: &mut Index) {
         let mut domains = BTreeSet::new();
         for entry in &read.value {
             if entry.key == self.adapter.routes_key() && entry.index != *routes_index {
--- a/tests/partial.rs
+++ b/tests/partial.rs
@@ -239,7 +239,8 @@
     env.store_proxies.iter().for_each(platform::Proxy::heal);
     let new = env.add("a");
     wait_until("the new VM knows of the evacuation", || knows(&env, new));
-    let starts = |env: &Env| env.workers[..2].iter().map(|worker| worker.starts()).sum::<u64>();
+    let starts =
+        |env: &Env| env.workers[..2].iter().map(platform::worker::Worker::starts).sum::<u64>();
     let before = starts(&env);
     let replies = env.load(&[1, 2, 3, new], 4, after(Duration::from_secs(2)));
     assert!(replies.iter().all(|reply| is_done(reply.as_ref())), "{replies:?}");
--- a/tests/schedule/load/baseline.rs
+++ b/tests/schedule/load/baseline.rs
@@ -16,6 +16,14 @@
     target: usize,
 }
 
+/// A task that waits.
+#[derive(Clone, Copy, Debug)]
+struct Waiting {
+    job: usize,
+    /// How long it really takes at slowness 1, in milliseconds.
+    duration: u64,
+}
+
 /// The targets and the queue.
 struct Queue<'a> {
     site: &'a Site,
@@ -23,8 +31,8 @@
     now: u64,
     /// The free thousandths of a core of each target.
     free: Vec<u64>,
-    /// The job of each task that waits for a target.
-    waiting: VecDeque<usize>,
+    /// The tasks that wait for a target.
+    waiting: VecDeque<Waiting>,
     /// How many tasks of each job have not completed.
     incomplete: Vec<u32>,
     running: Vec<Running>,
@@ -49,7 +57,12 @@
     let mut ends = vec![None; jobs.len()];
     for (index, job) in jobs.iter().enumerate() {
         queue.run_until(job.at, &mut ends);
-        queue.waiting.extend((0..job.width).map(|_| index));
+        let duration = |task: u32| {
+            let mut long = job.long_tasks.iter();
+            long.find(|(long, _)| *long == task).map_or(job.duration, |&(_, duration)| duration)
+        };
+        let tasks = (0..job.width).map(|task| Waiting { job: index, duration: duration(task) });
+        queue.waiting.extend(tasks);
         queue.start_all();
     }
     queue.run_until(u64::MAX, &mut ends);
@@ -79,7 +92,8 @@
     }
 
     fn start_all(&mut self) {
-        while let Some(&job) = self.waiting.front() {
+        while let Some(&task) = self.waiting.front() {
+            let job = task.job;
             if self.now >= self.jobs[job].deadline() {
                 self.waiting.pop_front();
                 continue;
@@ -91,18 +105,19 @@
             let usable = usable.collect::<Vec<_>>();
             let Some(&target) = self.random.choice(&usable) else { break };
             self.waiting.pop_front();
-            self.start(job, target);
+            self.start(task, target);
         }
     }
 
-    fn start(&mut self, index: usize, target: usize) {
+    fn start(&mut self, task: Waiting, target: usize) {
+        let index = task.job;
         let job = &self.jobs[index];
         self.free[target] -= job.cpu;
         let is_far = job.rack.is_some_and(|rack| rack != super::day::rack_of(target));
         let far = if is_far { self.site.far_factor } else { 1.0 };
         let slow =
             if self.has(target, |trouble| matches!(trouble, Trouble::Slow(_))) { 4.6 } else { 1.0 };
-        let duration = job.duration as f64 * self.site.target_slowness(target) * far * slow;
+        let duration = task.duration as f64 * self.site.target_slowness(target) * far * slow;
         let stalls = self.has(target, |trouble| trouble == Trouble::Stalls);
         let completion =
             if stalls { job.deadline() } else { job.deadline().min(self.now + duration as u64) };
--- a/tests/schedule/load/day.rs
+++ b/tests/schedule/load/day.rs
@@ -68,6 +68,10 @@
     pub far_factor: f64,
     /// The arrival rate of jobs in each domain, per second.
     pub rates: [f64; 3],
+    /// The share of tasks that last longer than the others of their job, and by which factor.
+    pub tail: (f64, f64),
+    /// How far the arrival rates swing around their means, as a share of the mean. The domains follow each other.
+    pub swing: f64,
 }
 
 pub const BRISA: Site = Site {
@@ -77,6 +81,8 @@
     cpu: (6800.0, 10_000.0),
     far_factor: 2.0,
     rates: [53.0, 55.1, 46.5],
+    tail: (0.0, 1.0),
+    swing: 0.0,
 };
 
 pub const ASSOCIATION: Site = Site {
@@ -86,8 +92,40 @@
     cpu: (14_000.0, 20_000.0),
     far_factor: 3.0,
     rates: [46.2, 47.6, 60.8],
+    tail: (0.0, 1.0),
+    swing: 0.0,
 };
 
+/// Targets of one speed, tasks with a long tail, and demand that swings.
+pub const UNEVEN: Site = Site {
+    name: "uneven",
+    cores: 16,
+    slowness: &[1.0],
+    cpu: (8000.0, 12_000.0),
+    far_factor: 1.5,
+    rates: [38.0, 36.0, 33.0],
+    tail: (0.03, 7.0),
+    swing: 0.55,
+};
+
+/// Large targets of two speeds that run many tasks at a time.
+pub const LARGE: Site = Site {
+    name: "large",
+    cores: 64,
+    slowness: &[0.7, 0.7, 1.7],
+    cpu: (32_000.0, 48_000.0),
+    far_factor: 2.0,
+    rates: [42.0, 40.0, 36.0],
+    tail: (0.0, 1.0),
+    swing: 0.27,
+};
+
+/// The period in which arrival rates swing, in milliseconds.
+const SWING_PERIOD: f64 = 17_000.0;
+
+/// How far a domain is ahead of the one before it, as a share of the period.
+const SWING_LAG: f64 = 0.08;
+
 pub const DOMAINS: usize = 3;
 pub const TARGETS: usize = 48;
 const PER_DOMAIN: usize = TARGETS / DOMAINS;
@@ -138,6 +176,12 @@
         if target % 3 == 2 { self.cores * 3 / 2 } else { self.cores }
     }
 
+    /// The factor on the arrival rates of a domain at a time in milliseconds.
+    fn wave(&self, at: f64, domain: usize) -> f64 {
+        let phase = at / SWING_PERIOD + domain as f64 * SWING_LAG;
+        1.0 + self.swing * (std::f64::consts::TAU * phase).sin()
+    }
+
     pub fn target_slowness(&self, target: usize) -> f64 {
         self.slowness[target % self.slowness.len()]
     }
@@ -174,12 +218,19 @@
     pub estimate: u64,
     /// The rack of its data.
     pub rack: Option<usize>,
+    /// The indices of the tasks that last longer than the others, and how long they really take at slowness 1.
+    pub long_tasks: Vec<(u32, u64)>,
 }
 
 impl Job {
     /// The time at which it is due, in milliseconds.
     pub fn objective(&self) -> u64 {
-        self.at + self.duration * 8 / 5 + 60
+        self.at + self.longest() * 8 / 5 + 60
+    }
+
+    /// How long its longest task really takes at slowness 1, in milliseconds.
+    fn longest(&self) -> u64 {
+        self.long_tasks.iter().map(|&(_, duration)| duration).max().unwrap_or(self.duration)
     }
 
     /// The time at which its caller gives up, in milliseconds.
@@ -189,7 +240,9 @@
 
     /// Its work in thousandths of a core times milliseconds.
     pub fn work(&self) -> f64 {
-        f64::from(self.width) * self.cpu as f64 * self.duration as f64
+        let extra = self.long_tasks.iter().map(|(_, duration)| duration - self.duration);
+        let total = u64::from(self.width) * self.duration + extra.sum::<u64>();
+        self.cpu as f64 * total as f64
     }
 }
 
@@ -203,7 +256,8 @@
             let rate = rate * kind.share / shares / 1000.0;
             let mut at = 0.0;
             loop {
-                at += -random.f64().max(1e-9).ln() / (rate * surge(at as u64, index));
+                let factor = surge(at as u64, index) * site.wave(at, domain);
+                at += -random.f64().max(1e-9).ln() / (rate * factor);
                 if at >= END as f64 {
                     break;
                 }
@@ -226,7 +280,7 @@
     let kind = &KINDS[index];
     let duration = spread(random, kind.duration.0, SPREAD).min(kind.duration.1);
     let rack = (random.f64() < kind.data_share).then(|| random_rack(random));
-    Job {
+    let mut job = Job {
         at,
         domain,
         kind: index,
@@ -235,7 +289,14 @@
         duration: duration.max(1.0) as u64,
         estimate: spread(random, duration, SPREAD).max(1.0) as u64,
         rack,
+        long_tasks: Vec::new(),
+    };
+    let (share, factor) = site.tail;
+    if share > 0.0 {
+        let long = (0..job.width).filter(|_| random.f64() < share);
+        job.long_tasks = long.map(|task| (task, (job.duration as f64 * factor) as u64)).collect();
     }
+    job
 }
 
 /// A random rack; racks with a lower index are more likely.
--- a/tests/schedule/load/mod.rs
+++ b/tests/schedule/load/mod.rs
@@ -9,7 +9,9 @@
 use std::ops::RangeInclusive;
 use std::sync::Arc;
 
-use day::{ASSOCIATION, BRISA, DOMAINS, END, INCIDENTS, Job, KINDS, Site, TARGETS, Trouble};
+use day::{
+    ASSOCIATION, BRISA, DOMAINS, END, INCIDENTS, Job, KINDS, LARGE, Site, TARGETS, Trouble, UNEVEN,
+};
 use gypsumkeel::batch::{Outcome, Spec};
 use gypsumkeel::clock::Millis;
 use gypsumkeel::route::{self, Candidate, Demand};
@@ -142,6 +144,9 @@
         let demand = Demand::of(&spec, job.rack.map(|_| self.site.far_factor));
         let Some(chosen) = route::choose(candidates, demand) else { return };
         tried.push(chosen.vm);
+        for &(task, duration) in &job.long_tasks {
+            self.model.set_duration(&spec.id, task, duration);
+        }
         let time_left = Millis(job.deadline().saturating_sub(now.0));
         let age = Millis(now.0 - job.at);
         self.model.submit_aged(chosen.vm, index as u64, spec, job.duration, (age, time_left));
@@ -227,9 +232,23 @@
     check(&BRISA, 1..=2);
 }
 
+/// Tasks with a long tail must not be taken for slow targets, and demand that swings must find the room that is left.
+#[test]
+fn heavy_days_with_uneven_tasks_and_demand() {
+    check(&UNEVEN, 1..=2);
+}
+
+/// Callers who compete for few large targets.
+#[test]
+fn heavy_days_on_large_targets() {
+    check(&LARGE, 1..=2);
+}
+
 #[test]
 #[ignore = "a measurement: cargo test --release --test schedule -- --ignored --nocapture heavy"]
 fn heavy_days_with_more_seeds() {
     check(&ASSOCIATION, 1..=10);
     check(&BRISA, 1..=10);
+    check(&UNEVEN, 1..=10);
+    check(&LARGE, 1..=10);
 }
--- a/tests/schedule/model.rs
+++ b/tests/schedule/model.rs
@@ -166,6 +166,8 @@
     specs: HashMap<Arc<str>, Arc<Spec>>,
     /// The real duration of a job's tasks at slowness 1, in milliseconds.
     durations: HashMap<Arc<str>, u64>,
+    /// The real duration of single tasks that differ from the others of their job, by job and index.
+    long_tasks: HashMap<(Arc<str>, u32), u64>,
     /// The time and index of each item to come; items at the same time are handled in the order of their index.
     agenda: BinaryHeap<Reverse<(u64, usize)>>,
     items: Vec<Option<Item>>,
@@ -249,6 +251,7 @@
             partitions: Vec::new(),
             specs: HashMap::new(),
             durations: HashMap::new(),
+            long_tasks: HashMap::new(),
             agenda: BinaryHeap::new(),
             items: Vec::new(),
             deferred: vec![Vec::new(); engines],
@@ -337,6 +340,11 @@
         spec
     }
 
+    /// Makes one task of a job really last `duration` at slowness 1, in milliseconds, unlike the others.
+    pub fn set_duration(&mut self, job: &str, index: u32, duration: u64) {
+        self.long_tasks.insert((Arc::from(job), index), duration);
+    }
+
     /// Partitions an engine from a target, or heals the partition.
     pub fn partition(&mut self, engine: usize, target: usize, is_partitioned: bool) {
         self.partitions.retain(|pair| *pair != (engine, target));
@@ -593,7 +601,9 @@
             .as_deref()
             .is_some_and(|rack| target.listing.rack.as_deref() != Some(rack));
         let far = if is_far { self.rules.far_factor } else { 1.0 };
-        let duration = (self.durations[&name.job] as f64 * target.slowness * far) as u64;
+        let usual = self.durations[&name.job];
+        let base = *self.long_tasks.get(&(Arc::clone(&name.job), name.index)).unwrap_or(&usual);
+        let duration = (base as f64 * target.slowness * far) as u64;
         target.starts += 1;
         let attempt = Attempt {
             name: name.clone(),
