Guarantee each queue a share while queues demand more than there is

Cause: the batch that must start soonest goes first, so under overload the queues whose batches can wait longest get most of the capacity, and a queue's priority counts only between equal times. In the model of heavy load the kind of the highest priority, short and wide, got the least.

Change: each queue has an account of what it demands and of its share of the capacity, weighted by 1 for priority 0, a half for 1, a third for 2; what one leaves goes to the others. A batch beyond its queue's share goes behind those within theirs. While all demand fits, nothing changes.

--- a/src/schedule/admission.rs
+++ b/src/schedule/admission.rs
@@ -8,6 +8,7 @@
 use super::batch::{Batch, Times};
 use super::engine::{Engine, has_label, scaled};
 use super::event::{Action, BatchId};
+use super::placement::PACKED_SHARE;
 use super::queue::{Class, Rank, Work, time_for};
 use super::target::{Attempt, Phase};
 
@@ -41,7 +42,11 @@
             actions.push(Action::End { batch: id, outcome: Outcome::Moved, account });
             return;
         }
-        batch.account.backlog = self.load(now).backlog;
+        let load = self.load(now);
+        batch.account.backlog = load.backlog;
+        let work = self.work(&batch, 0..batch.tasks.len());
+        let capacity = load.total_cpu as f64 * PACKED_SHARE;
+        batch.surplus = !self.shares.charge(now, &batch.spec, work, capacity);
         if let Some(outcome) = self.refusal(now, id, &mut batch) {
             let account = batch.account;
             actions.push(Action::End { batch: id, outcome, account });
--- a/src/schedule/batch.rs
+++ b/src/schedule/batch.rs
@@ -30,6 +30,8 @@
     pub slack: Millis,
     /// Whether the batch could no longer meet its objective when it arrived.
     pub demoted: bool,
+    /// Whether the batch goes beyond its queue's share, so that batches within theirs go first.
+    pub surplus: bool,
     /// Whether attempts of another submission under the same id have to end first.
     pub awaits_duplicate: bool,
     /// When the batch arrived at this VM.
@@ -102,6 +104,7 @@
             slack: objective - times.critical_path,
             awaits_duplicate: false,
             demoted: false,
+            surplus: false,
             received_at: times.received_at,
             account: Account::default(),
             open_steps: spec.steps.iter().map(|step| step.count).collect(),
--- a/src/schedule/engine.rs
+++ b/src/schedule/engine.rs
@@ -15,6 +15,7 @@
 use super::history::History;
 use super::latency::Latency;
 use super::queue::{Queue, time_for};
+use super::share::Shares;
 use super::speed::Speeds;
 use super::tail::Tails;
 use super::target::{Phase, Target};
@@ -45,6 +46,8 @@
     pub(super) queue: Queue,
     /// The arrival rate of batches that can meet their objective.
     pub(super) arrivals: Arrivals,
+    /// What queues may take while they demand more than there is.
+    pub(super) shares: Shares,
     pub(super) speeds: Speeds,
     /// The queues whose tasks are long at times.
     pub(super) tails: Tails,
@@ -77,6 +80,7 @@
             history: History::default(),
             queue: Queue::default(),
             arrivals: Arrivals::default(),
+            shares: Shares::default(),
             speeds: Speeds::default(),
             tails: Tails::default(),
             calls: HashMap::new(),
--- a/src/schedule/mod.rs
+++ b/src/schedule/mod.rs
@@ -19,6 +19,7 @@
 mod placement;
 mod poll;
 mod queue;
+mod share;
 mod speed;
 mod stall;
 mod tail;
--- a/src/schedule/placement.rs
+++ b/src/schedule/placement.rs
@@ -14,7 +14,7 @@
 use super::target::Target;
 
 /// The share of the cores that tasks can fill: the rest of a target is often too small for another task.
-const PACKED_SHARE: f64 = 0.85;
+pub(super) const PACKED_SHARE: f64 = 0.85;
 
 /// The share of a batch's slack that its tasks spend waiting for a target on the rack of the data.
 const NEAR_WAIT_SHARE: f64 = 0.5;
--- a/src/schedule/queue.rs
+++ b/src/schedule/queue.rs
@@ -50,6 +50,8 @@
     pub class: Class,
     /// Whether no task was started yet. Started batches go first, since their work would be lost otherwise.
     pub fresh: bool,
+    /// Whether the batch goes beyond its queue's share.
+    pub surplus: bool,
     /// When the next task must start for the batch to meet its objective.
     pub latest_start: Millis,
     /// The priority of the batch's queue.
@@ -63,6 +65,7 @@
         Self {
             class,
             fresh: !batch.started,
+            surplus: batch.surplus,
             latest_start: batch.latest_start(),
             priority: batch.spec.terms.priority,
             batch: id,
--- a/tests/schedule.rs
+++ b/tests/schedule.rs
@@ -7,6 +7,8 @@
 mod load;
 #[path = "schedule/model.rs"]
 mod model;
+#[path = "schedule/shares.rs"]
+mod shares;
 #[path = "schedule/tails.rs"]
 mod tails;
 
