Bound what callers hold: connections, and bytes that are not answered yet

Cause: connections were limited by number only, whatever the VM's descriptors, and nothing counted the bytes of requests.

Change: all servers of a process share one account of callers' connections and bytes. A body's memory is taken before it is read, as it grows, and a job's decoded size before it is queued; both are given back with the answer. The limits follow from the settings: a quarter of the memory, and half of the descriptors that sockets may have for jobs and a sixteenth for each other server; `callers.memory_max` on other VMs, 256 MiB. At a limit the connection is closed that holds most and has made no progress for longest, a second at least; a request that finds no memory within 1.5 s is refused as not run. A job's list of steps is no longer decoded beyond the largest number of them.

--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -9,4 +9,4 @@
 
 pub use name::Name;
 pub use outcome::{Outcome, Refusal};
-pub use spec::{Invalid, Resources, Spec, Step, Terms};
+pub use spec::{Invalid, Resources, STEPS_MAX, Spec, Step, Terms};
--- a/src/batch/spec.rs
+++ b/src/batch/spec.rs
@@ -13,6 +13,9 @@
 /// The maximum number of steps of a batch.
 pub const STEPS_MAX: usize = 1_000;
 
+/// The memory of a task that is queued or runs, with its attempts, in bytes.
+const TASK_BYTES: usize = 256;
+
 /// A batch as submitted, with the terms of its queue.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Spec {
@@ -64,6 +67,16 @@
     pub per_target_max: Option<u32>,
 }
 
+impl Step {
+    /// The memory that the step and its tasks take, in bytes, approximately.
+    fn size(&self) -> usize {
+        let labels = [&self.required_label, &self.near_rack].into_iter().flatten();
+        let labels = labels.map(String::len).sum::<usize>();
+        let after = self.after.len() * size_of::<u32>();
+        size_of::<Self>() + labels + after + self.count as usize * TASK_BYTES
+    }
+}
+
 /// Resources that a target has or a task takes.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Resources {
@@ -137,6 +150,12 @@
         }
     }
 
+    /// The memory that the batch takes while it is run, in bytes, approximately.
+    pub fn size(&self) -> usize {
+        let steps = self.steps.iter().map(Step::size).sum::<usize>();
+        size_of::<Self>() + self.text.len() + steps
+    }
+
     /// The duration of the critical path: of the longest sequence of steps that wait for each other, if a task of a
     /// step lasts `duration`. Tasks of one step are taken to run all at once.
     pub fn critical_path(&self, duration: impl Fn(&Step) -> Millis) -> Millis {
--- a/src/http/body.rs
+++ b/src/http/body.rs
@@ -1,4 +1,4 @@
-//! Reads the body of a request with a limit on its size and on the time that it takes.
+//! Reads the body of a request with a limit on its size, on the time that it takes, and on the bytes that all callers hold.
 
 use std::fmt;
 use std::io;
@@ -6,11 +6,16 @@
 use http_types::Request;
 use smol::Timer;
 use smol::future::FutureExt as _;
-use smol::io::AsyncReadExt as _;
+use smol::io::{AsyncRead, AsyncReadExt as _};
 
 use crate::clock::Millis;
 use crate::contain;
 
+use super::server::Caller;
+
+/// The capacity with which a body begins, in bytes.
+const CAPACITY_MIN: usize = 4 << 10;
+
 /// Why the body of a request can't be used.
 #[derive(Debug)]
 pub enum BodyError {
@@ -22,6 +27,8 @@
     Slow(Millis),
     /// The body ended before its declared length.
     Short,
+    /// Other callers hold all the memory for bodies.
+    Exhausted,
 }
 
 impl fmt::Display for BodyError {
@@ -36,6 +43,9 @@
             Self::Slow(timeout) => {
                 write!(f, "the body did not arrive within {timeout}; send it faster")
             }
+            Self::Exhausted => f.write_str(
+                "other callers hold all the memory for requests; send the request again later",
+            ),
             Self::Short => {
                 f.write_str("the body ended before its declared length; send the request again")
             }
@@ -55,12 +65,19 @@
     if declared.is_some_and(|length| length as u64 > max_bytes) {
         return Err(BodyError::Large(max_bytes));
     }
+    let caller = request.ext().get::<Caller>().cloned();
     let source = request.take_body();
-    let mut body = Vec::with_capacity(declared.unwrap_or(0));
+    let mut body = Vec::new();
     let read = async {
         let mut source = source.take(max_bytes + 1);
-        let read = contain::future(source.read_to_end(&mut body)).await;
-        read.unwrap_or_else(|panicked| Err(io::Error::other(panicked))).map_err(BodyError::Unread)
+        loop {
+            if body.len() == body.capacity() {
+                grow(&mut body, declared, max_bytes, caller.as_ref()).await?;
+            }
+            if read_some(&mut source, &mut body).await? == 0 {
+                return Ok(body.len());
+            }
+        }
     };
     let expired = async {
         Timer::after(timeout.duration()).await;
@@ -73,5 +90,39 @@
     if declared.is_some_and(|declared| declared != length) {
         return Err(BodyError::Short);
     }
+    if let Some(caller) = caller {
+        caller.begin_service();
+    }
     Ok(body)
 }
+
+/// Doubles the capacity of a body, up to one byte more than it may have, once the caller may hold that much.
+async fn grow(
+    body: &mut Vec<u8>,
+    declared: Option<usize>,
+    max_bytes: u64,
+    caller: Option<&Caller>,
+) -> Result<(), BodyError> {
+    let most = declared.map_or(max_bytes, |declared| max_bytes.min(declared as u64)) as usize + 1;
+    let added = body.capacity().max(CAPACITY_MIN).min(most.saturating_sub(body.len()).max(1));
+    if let Some(caller) = caller
+        && !caller.held().take(added as u64).await
+    {
+        return Err(BodyError::Exhausted);
+    }
+    body.reserve_exact(added);
+    Ok(())
+}
+
+/// Reads what has arrived, up to the capacity of `body`. Returns the number of bytes; 0 at the end of the body.
+async fn read_some(
+    source: &mut (impl AsyncRead + Unpin),
+    body: &mut Vec<u8>,
+) -> Result<usize, BodyError> {
+    let length = body.len();
+    body.resize(body.capacity(), 0);
+    let read = contain::future(source.read(&mut body[length..])).await;
+    let read = read.unwrap_or_else(|panicked| Err(io::Error::other(panicked)));
+    body.truncate(length + read.as_ref().map_or(0, |bytes| *bytes));
+    read.map_err(BodyError::Unread)
+}
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -179,7 +179,7 @@
     }
 
     async fn exchange(&self, message: http_types::Request) -> Result<Response, http_types::Error> {
-        let stream = Limited::new(self.stream.clone(), BODY_MAX_BYTES);
+        let stream = Limited::new(self.stream.clone(), BODY_MAX_BYTES, None);
         let mut response = async_h1::connect(stream, message).await?;
         let mut body = Vec::new();
         let source = response.take_body();
--- a/src/http/limited.rs
+++ b/src/http/limited.rs
@@ -9,6 +9,7 @@
 use smol::io::{AsyncRead, AsyncWrite};
 use smol::net::TcpStream;
 
+use super::holdings::Held;
 use super::mask::Mask;
 
 /// Bytes that a message may have beyond twice the largest body: for its head and for the framing of chunks.
@@ -21,12 +22,14 @@
     stream: TcpStream,
     bytes_left: Arc<AtomicU64>,
     mask: Arc<Mutex<Mask>>,
+    /// What the sender holds, if it is a caller.
+    held: Option<Arc<Held>>,
 }
 
 impl Limited {
     /// Wraps a stream at the start of a message whose body may have `body_max` bytes.
-    pub fn new(stream: TcpStream, body_max: u64) -> Self {
-        let limited = Self { stream, bytes_left: Arc::default(), mask: Arc::default() };
+    pub fn new(stream: TcpStream, body_max: u64, held: Option<Arc<Held>>) -> Self {
+        let limited = Self { stream, bytes_left: Arc::default(), mask: Arc::default(), held };
         limited.begin(body_max);
         limited
     }
@@ -36,6 +39,12 @@
         self.bytes_left.store(HEAD_MAX_BYTES + 2 * body_max, Ordering::Relaxed);
         *self.mask.lock().unwrap_or_else(PoisonError::into_inner) = Mask::default();
     }
+
+    fn record_progress(&self) {
+        if let Some(held) = &self.held {
+            held.record_progress();
+        }
+    }
 }
 
 impl AsyncRead for Limited {
@@ -51,6 +60,7 @@
         let length = buffer.len().min(usize::try_from(bytes_left).unwrap_or(usize::MAX));
         let read = Pin::new(&mut self.stream).poll_read(context, &mut buffer[..length]);
         if let Poll::Ready(Ok(bytes)) = &read {
+            self.record_progress();
             self.bytes_left.fetch_sub(*bytes as u64, Ordering::Relaxed);
             self.mask.lock().unwrap_or_else(PoisonError::into_inner).apply(&mut buffer[..*bytes]);
         }
@@ -64,7 +74,11 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
+        if written.is_ready() {
+            self.record_progress();
+        }
+        written
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -2,6 +2,7 @@
 
 mod body;
 mod client;
+mod holdings;
 mod limited;
 mod mask;
 mod pool;
@@ -10,4 +11,5 @@
 
 pub use body::{BodyError, read_body};
 pub use client::{Connection, Error, Request, Response};
+pub use holdings::{Held, Holdings};
 pub use pool::{Limits, Pool};
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -19,6 +19,7 @@
 use crate::job::{Execution, Failure, Reason};
 use crate::runtime;
 
+use super::holdings::{Held, Holdings};
 use super::limited::Limited;
 use super::problem;
 
@@ -34,16 +35,52 @@
     pub head_timeout: Millis,
 }
 
+/// How many connections over the limit may be open while those are being closed that make room for them.
+const EXCESS_MAX: usize = 16;
+
 /// The connections and requests of a server.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Traffic {
+    holdings: Arc<Holdings>,
+    /// The server's id in `holdings`.
+    id: u64,
     open: AtomicUsize,
     busy: AtomicUsize,
     is_closing: AtomicBool,
     close: Event,
 }
 
+impl Default for Traffic {
+    fn default() -> Self {
+        Self::new(Arc::default())
+    }
+}
+
 impl Traffic {
+    /// The traffic of a server whose callers' connections and bytes count in `holdings`.
+    pub fn new(holdings: Arc<Holdings>) -> Self {
+        let id = holdings.new_id();
+        Self {
+            holdings,
+            id,
+            open: AtomicUsize::new(0),
+            busy: AtomicUsize::new(0),
+            is_closing: AtomicBool::new(false),
+            close: Event::new(),
+        }
+    }
+
+    /// What the callers of this server and of others in the process hold.
+    pub const fn holdings(&self) -> &Arc<Holdings> {
+        &self.holdings
+    }
+
+    /// Whether another connection may be served beside `open` ones. At the limit, one that makes no progress is closed.
+    fn admits(&self, open: usize, connections_max: usize) -> bool {
+        open < connections_max
+            || (open < connections_max + EXCESS_MAX && self.holdings.evict_connection(self.id))
+    }
+
     /// The number of open connections, those that are being refused included.
     pub fn open(&self) -> usize {
         self.open.load(Ordering::Relaxed)
@@ -67,14 +104,27 @@
 
 /// The connection that a request came on, among the request's extensions.
 #[derive(Clone, Debug)]
-pub struct Caller(TcpStream);
+pub struct Caller {
+    stream: TcpStream,
+    held: Arc<Held>,
+}
 
 impl Caller {
+    /// What the caller holds.
+    pub fn held(&self) -> &Held {
+        &self.held
+    }
+
+    /// Records that the request has been read whole, so that the caller waits for the response.
+    pub(super) fn begin_service(&self) {
+        self.held.set_served(true);
+    }
+
     /// Whether the caller has closed or reset the connection, once the request has been read whole. Nobody waits for the
     /// response then.
     pub async fn has_left(&self) -> bool {
         let mut byte = [0];
-        let peek = self.0.peek(&mut byte);
+        let peek = self.stream.peek(&mut byte);
         matches!(future::poll_once(peek).await, Some(Ok(0) | Err(_)))
     }
 }
@@ -102,7 +152,7 @@
         let traffic = Arc::clone(&traffic);
         runtime::spawn(async move {
             let already_open = traffic.open.fetch_add(1, Ordering::Relaxed);
-            if already_open < rules.connections_max {
+            if traffic.admits(already_open, rules.connections_max) {
                 serve_connection(stream, rules, &traffic, handler).await;
             } else {
                 refuse_connection(stream).await;
@@ -129,7 +179,8 @@
     let has_request = Arc::new(AtomicBool::new(false));
     let must_close = Arc::new(AtomicBool::new(false));
     let has_failed = Arc::new(AtomicBool::new(false));
-    let limited = Limited::new(stream.clone(), handler.body_max());
+    let held = Arc::new(traffic.holdings.add(traffic.id));
+    let limited = Limited::new(stream.clone(), handler.body_max(), Some(Arc::clone(&held)));
     let request_started = Arc::new(Event::new());
     let endpoint = {
         let has_request = Arc::clone(&has_request);
@@ -138,7 +189,7 @@
         let request_started = Arc::clone(&request_started);
         let handler = Arc::clone(&handler);
         let traffic = Arc::clone(traffic);
-        let caller = Caller(stream.clone());
+        let caller = Caller { stream: stream.clone(), held: Arc::clone(&held) };
         move |mut request: Request| {
             has_request.store(true, Ordering::Relaxed);
             request_started.notify(1);
@@ -147,8 +198,10 @@
             let response = Arc::clone(&handler).answer(request);
             let has_failed = Arc::clone(&has_failed);
             let must_close = Arc::clone(&must_close);
+            let held = Arc::clone(&caller.held);
             async move {
                 let response = contain::exempt(response).await;
+                held.set_served(false);
                 let close = response.header("Connection").is_some_and(|value| value == "close");
                 must_close.store(close, Ordering::Relaxed);
                 has_failed.store(!response.status().is_success(), Ordering::Relaxed);
@@ -159,6 +212,7 @@
     let mut server = Server::new(limited.clone(), endpoint);
     loop {
         limited.begin(handler.body_max());
+        held.give_back();
         has_request.store(false, Ordering::Relaxed);
         has_failed.store(false, Ordering::Relaxed);
         let stalled = async {
@@ -171,6 +225,10 @@
             wait_until_closed(&stream).await;
             Ok(ConnectionStatus::Close)
         };
+        let evicted = async {
+            held.wait_until_evicted().await;
+            Ok(ConnectionStatus::Close)
+        };
         let close = traffic.close.listen();
         let closed = async {
             if !traffic.is_closing() {
@@ -185,7 +243,7 @@
             let accepted = contain::future(server.accept_one()).await;
             accepted.unwrap_or_else(|panicked| Err(http_types::Error::new(400, panicked)))
         };
-        let result = accepted.or(stalled).or(abandoned).or(closed).await;
+        let result = accepted.or(stalled).or(abandoned).or(evicted).or(closed).await;
         if has_request.load(Ordering::Relaxed) {
             traffic.busy.fetch_sub(1, Ordering::Relaxed);
         }
--- a/src/metrics/names.rs
+++ b/src/metrics/names.rs
@@ -116,6 +116,8 @@
         RoutesFetches = "routes.fetches",
         /// Bytes of routes that other VMs returned.
         RoutesFetchedBytes = "routes.fetched_bytes",
+        /// Callers' connections that were closed in favour of others, as they made no progress.
+        CallersEvicted = "connections.evicted",
         /// Leased targets that this VM acquired.
         TargetsAcquired = "targets.taken",
         /// Leased targets that this VM lost because another VM took them over.
@@ -140,6 +142,8 @@
         KeysHeld = "keys.held",
         /// Open connections of callers.
         ConnectionsOpen = "connections.open",
+        /// Bytes of requests that callers have sent and that are not answered yet.
+        HeldBytes = "connections.held_bytes",
         /// Requests of callers whose responses have not been written.
         RequestsBusy = "requests.busy",
         /// VMs with a link to this one.
--- a/src/platform/front.rs
+++ b/src/platform/front.rs
@@ -9,8 +9,8 @@
 use crate::batch::Outcome;
 use crate::clock::Millis;
 use crate::event;
-use crate::http::read_body;
 use crate::http::server::{Caller, Handler};
+use crate::http::{BodyError, read_body};
 use crate::route::{Route, Table};
 use crate::vm::{Cancellation, Node, Wait};
 
@@ -28,6 +28,9 @@
 /// The time after which cancelling may be requested again if a VM did not tell whether it knows the job, in seconds.
 const CANCEL_RETRY_AFTER_S: u64 = 1;
 
+/// The time after which a request may be sent again that found no memory.
+const MEMORY_RETRY_AFTER: Millis = Millis(1000);
+
 /// The path that `gypsumkeel status` requests, the same as on any other entry VM.
 const STATUS_PATH: &str = "/v1/status";
 
@@ -110,6 +113,10 @@
     let body_max = node.routes().body_max;
     let body = match read_body(request, body_max, BODY_TIMEOUT).await {
         Ok(body) => body,
+        Err(error @ BodyError::Exhausted) => {
+            event!(warn, "request-unread", job = id, reason = error);
+            return refuse(StatusCode::ServiceUnavailable, "memory", id, MEMORY_RETRY_AFTER);
+        }
         Err(error) => {
             event!(warn, "request-unread", job = id, reason = error);
             return state(StatusCode::BadRequest, "invalid");
@@ -125,6 +132,9 @@
             return state(StatusCode::BadRequest, "invalid");
         }
     };
+    if !holds(request, spec.size()).await {
+        return refuse(StatusCode::ServiceUnavailable, "memory", id, MEMORY_RETRY_AFTER);
+    }
     if has_left(request).await {
         event!(info, "caller-left", job = id);
         return state(StatusCode::RequestTimeout, "refused");
@@ -144,6 +154,14 @@
     respond(id, &outcome)
 }
 
+/// Whether the caller may hold `bytes` more until it is answered.
+async fn holds(request: &Request, bytes: usize) -> bool {
+    match request.ext().get::<Caller>() {
+        Some(caller) => caller.held().take(bytes as u64).await,
+        None => true,
+    }
+}
+
 /// Whether the caller has closed its connection. It may have submitted the job elsewhere by now, so that nothing of it may
 /// start here.
 async fn has_left(request: &Request) -> bool {
--- a/src/platform/request.rs
+++ b/src/platform/request.rs
@@ -1,11 +1,13 @@
 //! The body of a job submission.
 
 use std::fmt;
+use std::marker::PhantomData;
 use std::sync::Arc;
 
-use serde::Deserialize;
+use serde::de::{Error as _, SeqAccess, Visitor};
+use serde::{Deserialize, Deserializer};
 
-use crate::batch::{self, Invalid, Resources, Spec};
+use crate::batch::{self, Invalid, Resources, STEPS_MAX, Spec};
 use crate::clock::Millis;
 use crate::contain;
 use crate::route::Route;
@@ -14,6 +16,7 @@
 #[serde(rename_all = "camelCase")]
 struct Job {
     spec: Arc<str>,
+    #[serde(deserialize_with = "bounded_steps")]
     steps: Vec<Step>,
     #[serde(default)]
     best_effort: bool,
@@ -38,7 +41,7 @@
     /// The caller's estimate of how long one task runs.
     #[serde(default)]
     est_ms: Millis,
-    #[serde(default)]
+    #[serde(default, deserialize_with = "bounded_after")]
     after: Vec<u32>,
     #[serde(default)]
     gang: bool,
@@ -51,6 +54,38 @@
     max_per_server: Option<u32>,
 }
 
+/// Decodes at most [`STEPS_MAX`] steps, so that a short text can't take much memory.
+fn bounded_steps<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<Step>, D::Error> {
+    deserializer.deserialize_seq(Bounded(PhantomData))
+}
+
+/// Decodes the indices of at most [`STEPS_MAX`] steps.
+fn bounded_after<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<u32>, D::Error> {
+    deserializer.deserialize_seq(Bounded(PhantomData))
+}
+
+/// Visits a list of at most [`STEPS_MAX`] items.
+struct Bounded<T>(PhantomData<T>);
+
+impl<'de, T: Deserialize<'de>> Visitor<'de> for Bounded<T> {
+    type Value = Vec<T>;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "a list of at most {STEPS_MAX} items")
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut list: A) -> Result<Vec<T>, A::Error> {
+        let mut items = Vec::new();
+        while let Some(item) = list.next_element()? {
+            if items.len() >= STEPS_MAX {
+                return Err(A::Error::invalid_length(items.len() + 1, &self));
+            }
+            items.push(item);
+        }
+        Ok(items)
+    }
+}
+
 /// An error that makes a submission unacceptable.
 #[derive(Debug)]
 pub enum Error {
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -54,6 +54,21 @@
 /// The least `lease_max` that allows leases to be renewed in time, since a long poll waits up to 500 ms.
 const LEASE_MAX_MIN: Millis = Millis(800);
 
+/// The part of the memory that callers may hold: a quarter.
+const CALLERS_MEMORY_PART: u64 = 4;
+
+/// The bytes that callers may hold if the file doesn't tell the memory.
+const CALLERS_BYTES: u64 = 64 << 20;
+
+/// The descriptors that the platform reserves for files.
+const RESERVED_DESCRIPTORS: usize = 200;
+
+/// The least number of connections that a server accepts, whatever the limit of descriptors.
+const CONNECTIONS_MIN: usize = 16;
+
+/// The most open connections of a server.
+const CONNECTIONS_MAX: usize = 2000;
+
 /// The part of the platform's grace period that a drain leaves for the exit of the process.
 const STOP_MARGIN: Millis = Millis(500);
 
@@ -120,6 +135,12 @@
     /// The bandwidth of the VM's link in Mbit/s; 0 if the file has none.
     #[serde(default)]
     pub link_mbps: f64,
+    /// The memory in megabytes; 0 if the file has none.
+    #[serde(default)]
+    pub memory_mb: u64,
+    /// The number of file descriptors; 0 if the file has none.
+    #[serde(default)]
+    pub max_fds: usize,
 }
 
 impl Limits {
@@ -131,6 +152,19 @@
             Quota::default()
         }
     }
+
+    /// What callers may hold. Half of the descriptors that sockets may use are left to links, the store and targets.
+    fn callers(&self) -> vm::Callers {
+        let bytes = (self.memory_mb << 20) / CALLERS_MEMORY_PART;
+        let sockets = self.max_fds.saturating_sub(RESERVED_DESCRIPTORS);
+        let connections = if self.max_fds > 0 { sockets / 2 } else { CONNECTIONS_MAX };
+        let door = if self.max_fds > 0 { sockets / 16 } else { CONNECTIONS_MAX };
+        vm::Callers {
+            bytes: if bytes > 0 { bytes } else { CALLERS_BYTES },
+            connections: connections.clamp(CONNECTIONS_MIN, CONNECTIONS_MAX),
+            other_connections: door.clamp(CONNECTIONS_MIN, CONNECTIONS_MAX),
+        }
+    }
 }
 
 /// The limits that the platform enforces.
@@ -275,6 +309,7 @@
             drain_min: READY_LAG.min(grace - STOP_MARGIN),
             drain_max: grace - STOP_MARGIN,
             metrics: self.metrics(),
+            callers_max: self.limits.callers(),
         }
     }
 }
--- a/src/serve/meter.rs
+++ b/src/serve/meter.rs
@@ -69,6 +69,7 @@
         (Gauge::TargetsEjected, tasks.ejected),
         (Gauge::KeysHeld, keys as u64),
         (Gauge::ConnectionsOpen, node.traffic.open() as u64),
+        (Gauge::HeldBytes, node.traffic.holdings().bytes()),
         (Gauge::RequestsBusy, node.traffic.busy() as u64),
         (Gauge::PeersLinked, node.links.up().len() as u64),
         (Gauge::ConfigVersion, node.holder.version()),
--- a/src/serve/node.rs
+++ b/src/serve/node.rs
@@ -11,6 +11,7 @@
 use crate::clock::{Clock, Millis};
 use crate::config::{Document, Holder};
 use crate::dispatch::{Attempt, Destination, Engine, Event, Report};
+use crate::http::Holdings;
 use crate::http::server::Traffic;
 use crate::job::{
     Closing, Execution, Failure, Incarnation, Key, Outcome, Prefix, Reason, Spec, Windows,
@@ -81,6 +82,7 @@
         let seed = fastrand::u64(..);
         let engine = Engine::new(incarnation, &settings.domain, seed);
         let core = Core::new(engine, windows_of(&holder.snapshot().document));
+        let holdings = Arc::new(Holdings::new(settings.callers.memory_max));
         Self {
             settings,
             incarnation,
@@ -88,7 +90,7 @@
             holder,
             store,
             membership,
-            traffic: Arc::default(),
+            traffic: Arc::new(Traffic::new(holdings)),
             metrics: Arc::default(),
             clock,
             core: Mutex::new(core),
--- a/src/serve/routes.rs
+++ b/src/serve/routes.rs
@@ -178,6 +178,7 @@
         let reason = match error {
             BodyError::Large(_) => Reason::Large,
             BodyError::Slow(_) => Reason::Slow,
+            BodyError::Exhausted => Reason::Unavailable,
             BodyError::Unread(_) | BodyError::Short => Reason::Invalid,
         };
         Failure::new(reason, Execution::NotRun, error.to_string())
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -11,6 +11,9 @@
 /// The upper limit of the `threads` setting.
 const THREADS_MAX: usize = 256;
 
+/// The lower limit of the `callers.memory_max` setting, in bytes.
+const MEMORY_MIN: u64 = 1 << 20;
+
 /// The paths of the fields without a default, each with the remedy to report if it is missing.
 const REQUIRED: [(&str, &str); 6] = [
     ("vm", "give the VM a unique name, such as lantern-a-1"),
@@ -92,6 +95,12 @@
         settings.callers.connections_max.to_string(),
         "use at least 1",
     );
+    check(
+        settings.callers.memory_max >= MEMORY_MIN,
+        "callers.memory_max",
+        settings.callers.memory_max.to_string(),
+        "use at least 1MiB, so that ordinary requests fit",
+    );
     let prefix = &settings.store.prefix;
     check(
         !prefix.is_empty() && prefix.split('/').all(is_name),
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -13,7 +13,7 @@
 use serde_with::serde_as;
 
 pub use self::fault::Fault;
-use self::unit::{HttpAddress, Span};
+use self::unit::{HttpAddress, Size, Span};
 use crate::clock::Millis;
 
 /// A loopback address with a port that the operating system chooses.
@@ -163,6 +163,10 @@
     /// How long the body of a request may take to arrive.
     #[serde_as(as = "Span")]
     pub body_timeout: Millis,
+    /// The memory for requests that are not answered yet. When it is used up, callers that make no progress are
+    /// disconnected, and further requests are refused.
+    #[serde_as(as = "Size")]
+    pub memory_max: u64,
 }
 
 impl Default for Callers {
@@ -171,6 +175,7 @@
             connections_max: 4096,
             head_timeout: Millis::from_secs(10),
             body_timeout: Millis::from_secs(10),
+            memory_max: 256 << 20,
         }
     }
 }
--- a/src/vm/meter.rs
+++ b/src/vm/meter.rs
@@ -38,6 +38,7 @@
             (Gauge::PeersLinked, self.links.up().len() as u64),
             (Gauge::RequestsBusy, self.traffic.busy() as u64),
             (Gauge::ConnectionsOpen, self.traffic.open() as u64),
+            (Gauge::HeldBytes, self.traffic.holdings().bytes()),
             (Gauge::Draining, u64::from(self.is_draining())),
         ] {
             self.metrics.set(gauge, level);
@@ -57,6 +58,7 @@
             (Counter::LeasesLate, leases.late),
             (Counter::LeasesLapsed, leases.lapsed),
             (Counter::LinesOmitted, logs::omitted()),
+            (Counter::CallersEvicted, self.traffic.holdings().evicted()),
             (Counter::PeerControlFrames, volume.control_frames),
             (Counter::PeerControlBytes, volume.control_bytes),
             (Counter::PeerJobFrames, volume.job_frames),
--- a/src/vm/mod.rs
+++ b/src/vm/mod.rs
@@ -23,7 +23,7 @@
 pub use adapter::{Adapter, CallFuture, Client, Site};
 pub use cancel::Cancellation;
 pub use follow::{ROUTES_WAIT, TARGETS_PAUSE, TARGETS_PAUSE_OWNER, TARGETS_WAIT};
-pub use node::{Node, Settings};
+pub use node::{Callers, Node, Settings};
 pub use start::{Endpoints, Error, run};
 pub use status::Status;
 pub use submit::Wait;
--- a/src/vm/node.rs
+++ b/src/vm/node.rs
@@ -12,6 +12,7 @@
 
 use crate::clock::{Clock, Millis};
 use crate::event;
+use crate::http::Holdings;
 use crate::http::server::Traffic;
 use crate::job::Incarnation;
 use crate::membership::Membership;
@@ -70,6 +71,19 @@
     pub drain_max: Millis,
     /// The address for metrics.
     pub metrics: SocketAddr,
+    /// What callers may hold.
+    pub callers_max: Callers,
+}
+
+/// What the callers of a VM may hold.
+#[derive(Clone, Copy, Debug)]
+pub struct Callers {
+    /// The bytes of requests that are not answered yet.
+    pub bytes: u64,
+    /// The open connections of the server for jobs.
+    pub connections: usize,
+    /// The open connections of each other server.
+    pub other_connections: usize,
 }
 
 /// A running VM.
@@ -158,7 +172,7 @@
             links,
             store,
             membership,
-            traffic: Arc::default(),
+            traffic: Arc::new(Traffic::new(Arc::new(Holdings::new(settings.callers_max.bytes)))),
             metrics: Arc::default(),
             adapter,
             clock,
--- a/src/vm/start.rs
+++ b/src/vm/start.rs
@@ -9,7 +9,7 @@
 
 use crate::clock::Millis;
 use crate::event;
-use crate::http::server::{self, Handler as Server, Traffic};
+use crate::http::server::{self, Traffic};
 use crate::invariant;
 use crate::job::Incarnation;
 use crate::membership::{self, Membership, Registration};
@@ -22,9 +22,6 @@
 use super::node::{Node, Settings};
 use super::stop;
 
-/// The most open connections per HTTP server.
-const CONNECTIONS_MAX: usize = 2000;
-
 /// The time within which the head of a request must arrive. An idle connection is closed after it too.
 const HEAD_TIMEOUT: Millis = Millis::from_secs(60);
 
@@ -61,7 +58,7 @@
 /// The HTTP endpoints that the platform expects of a VM.
 pub trait Endpoints: fmt::Debug + Send + Sync {
     /// The addresses to listen on, each with its request handler.
-    fn servers(&self, node: &Arc<Node>) -> Vec<(SocketAddr, Arc<dyn Server>)>;
+    fn servers(&self, node: &Arc<Node>) -> Vec<(SocketAddr, Arc<dyn server::Handler>)>;
 }
 
 /// Runs a VM until a signal stops it.
@@ -134,8 +131,15 @@
     for (address, server) in endpoints.servers(&node) {
         let listener = listen(address).await?;
         let is_callers = address == node.settings.callers;
-        let traffic = if is_callers { Arc::clone(&node.traffic) } else { Arc::default() };
-        runtime::spawn(serve_endpoint(listener, traffic, server)).detach();
+        let limits = node.settings.callers_max;
+        let (traffic, connections_max) = if is_callers {
+            (Arc::clone(&node.traffic), limits.connections)
+        } else {
+            let holdings = Arc::clone(node.traffic.holdings());
+            (Arc::new(Traffic::new(holdings)), limits.other_connections)
+        };
+        let rules = server::Rules { connections_max, head_timeout: HEAD_TIMEOUT };
+        runtime::spawn(server::serve(listener, rules, traffic, server)).detach();
     }
     Ok(node)
 }
@@ -144,11 +148,6 @@
     TcpListener::bind(address).await.map_err(|error| Error::Listen(address, error))
 }
 
-async fn serve_endpoint(listener: TcpListener, traffic: Arc<Traffic>, handler: Arc<dyn Server>) {
-    let rules = server::Rules { connections_max: CONNECTIONS_MAX, head_timeout: HEAD_TIMEOUT };
-    server::serve(listener, rules, traffic, handler).await;
-}
-
 async fn keep_lease(node: Arc<Node>) {
     let prefix = &node.settings.prefix;
     membership::keep_lease(&node.membership, &*node.store, prefix, node.settings.lease).await;
--- a/tests/platform/mod.rs
+++ b/tests/platform/mod.rs
@@ -94,6 +94,8 @@
     directory: PathBuf,
     /// Further arguments of the VMs' command line.
     arguments: &'static [&'static str],
+    /// The limits in the VMs' settings; null for none.
+    limits: Value,
     /// The middle bytes of the loopback addresses, which differ from those of other environments.
     net: [u8; 2],
 }
@@ -115,6 +117,16 @@
 
     /// As [`Env::start`], with further arguments on the VMs' command line.
     pub fn start_with(vms: usize, workers: usize, arguments: &'static [&'static str]) -> Self {
+        Self::start_limited(vms, workers, arguments, Value::Null)
+    }
+
+    /// As [`Env::start_with`], with the `limits` of the VMs' settings.
+    pub fn start_limited(
+        vms: usize,
+        workers: usize,
+        arguments: &'static [&'static str],
+        limits: Value,
+    ) -> Self {
         let ledger = Arc::<Ledger>::default();
         let store = Kv::start();
         let domains = ["a", "b"];
@@ -137,6 +149,7 @@
             domains: domains.iter().flat_map(|d| vec![(*d).to_owned(); vms]).collect(),
             directory,
             arguments,
+            limits,
             net: [fastrand::u8(1..250), fastrand::u8(..)],
         };
         env.configure(1, PREFIX);
@@ -190,7 +203,7 @@
     pub fn settings(&self, index: usize) -> Value {
         let ip = self.ip(index);
         let at = |port| SocketAddr::new(ip, port);
-        json!({
+        let mut settings = json!({
             "node": format!("edge-{}-{index}", self.domains[index]), "role": "edge", "class": "edge",
             "serves": ["edge", "control"], "ip": ip, "zone": self.domains[index], "region": "south",
             "zones": { "a": "south", "b": "south" },
@@ -200,7 +213,11 @@
             "bounds": { "holdMaxMs": 1000, "farX": 2, "graceS": 6, "unknown": true },
             "orders": "call",
             "platform": { "addr": self.store_proxies[index].address, "form": "kv", "writesPerS": 400 },
-        })
+        });
+        if !self.limits.is_null() {
+            settings["limits"] = self.limits.clone();
+        }
+        settings
     }
 
     /// Adds a VM at a new address, waits until it is ready and returns its index.
@@ -431,6 +448,11 @@
         kill_process(pid, signal).unwrap();
     }
 
+    /// The id of the process.
+    pub fn pid(&self) -> u32 {
+        self.child.lock().unwrap().id()
+    }
+
     /// The exit status of the process, if it has ended.
     pub fn exit_status(&self) -> Option<ExitStatus> {
         self.child.lock().unwrap().try_wait().unwrap()
