--- a/src/check.rs
+++ b/src/check.rs
@@ -59,8 +59,9 @@
         return if is_valid { printed } else { Exit::Usage };
     }
     let code = report(file, "configuration of the platform", &faults);
-    let lines = changes.iter().map(|change| format!("{change}\n")).collect::<String>();
-    match exit::print(&lines) {
+    let mut lines = changes.iter().map(ToString::to_string).collect::<Vec<_>>();
+    lines.push(String::new());
+    match exit::print(&lines.join("\n")) {
         Exit::Done => code,
         failed => failed,
     }
--- a/src/schedule/admission.rs
+++ b/src/schedule/admission.rs
@@ -46,7 +46,7 @@
         batch.account.backlog = load.backlog;
         let work = self.work(&batch, 0..batch.tasks.len());
         let capacity = load.total_cpu as f64 * PACKED_SHARE;
-        batch.surplus = !self.shares.charge(now, &batch.spec, work, capacity);
+        batch.cover = self.shares.charge(now, &batch.spec, work, capacity);
         if let Some(outcome) = self.refusal(now, id, &mut batch) {
             let account = batch.account;
             actions.push(Action::End { batch: id, outcome, account });
--- a/src/schedule/batch.rs
+++ b/src/schedule/batch.rs
@@ -7,6 +7,7 @@
 use crate::clock::Millis;
 
 use super::event::Account;
+use super::share::Cover;
 
 /// How many times its objective a batch may take before its result is of no use to the caller.
 const DEADLINE_FACTOR: u64 = 3;
@@ -30,8 +31,8 @@
     pub slack: Millis,
     /// Whether the batch could no longer meet its objective when it arrived.
     pub demoted: bool,
-    /// Whether the batch goes beyond its queue's share, so that batches within theirs go first.
-    pub surplus: bool,
+    /// Whether the batch goes beyond its queue's share.
+    pub cover: Cover,
     /// Whether attempts of another submission under the same id have to end first.
     pub awaits_duplicate: bool,
     /// When the batch arrived at this VM.
@@ -104,7 +105,7 @@
             slack: objective - times.critical_path,
             awaits_duplicate: false,
             demoted: false,
-            surplus: false,
+            cover: Cover::Within,
             received_at: times.received_at,
             account: Account::default(),
             open_steps: spec.steps.iter().map(|step| step.count).collect(),
--- a/src/schedule/queue.rs
+++ b/src/schedule/queue.rs
@@ -10,6 +10,7 @@
 
 use super::batch::Batch;
 use super::event::BatchId;
+use super::share::Cover;
 
 /// How useful the end of a batch still is to its caller, the most useful first.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -51,7 +52,7 @@
     /// Whether no task was started yet. Started batches go first, since their work would be lost otherwise.
     pub fresh: bool,
     /// Whether the batch goes beyond its queue's share.
-    pub surplus: bool,
+    pub cover: Cover,
     /// When the next task must start for the batch to meet its objective.
     pub latest_start: Millis,
     /// The priority of the batch's queue.
@@ -65,7 +66,7 @@
         Self {
             class,
             fresh: !batch.started,
-            surplus: batch.surplus,
+            cover: batch.cover,
             latest_start: batch.latest_start(),
             priority: batch.spec.terms.priority,
             batch: id,
--- a/src/schedule/share.rs
+++ b/src/schedule/share.rs
@@ -20,6 +20,15 @@
 /// How much unused share a queue may save up, as the time in which it accrues.
 const SAVED_MAX: Millis = Millis(300);
 
+/// Whether a batch is covered by its queue's share; those that are go first.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(super) enum Cover {
+    /// It is, or all demand fits into the capacity.
+    Within,
+    /// It goes beyond the share.
+    Beyond,
+}
+
 /// What a queue demands, and what it may still take.
 #[derive(Clone, Copy, Debug, Default)]
 struct Account {
@@ -40,8 +49,8 @@
 
 impl Shares {
     /// Charges a batch to its queue's account, given the capacity in thousandths of cores. Returns whether the queue's share
-    /// covers the batch; it always does while all demand fits into the capacity.
-    pub fn charge(&mut self, now: Millis, spec: &Spec, work: Work, capacity: f64) -> bool {
+    /// covers the batch.
+    pub fn charge(&mut self, now: Millis, spec: &Spec, work: Work, capacity: f64) -> Cover {
         self.accrue(now, capacity);
         let work = work as f64;
         let account = self.accounts.entry(Arc::clone(&spec.queue)).or_default();
@@ -51,7 +60,7 @@
         if is_covered {
             account.credit -= work;
         }
-        is_covered || self.demand() <= capacity
+        if is_covered || self.demand() <= capacity { Cover::Within } else { Cover::Beyond }
     }
 
     /// The thousandths of cores that all queues demand.
