Let the fleet's faults evacuate a domain

From 5 s after the store's answer no task may start in an evacuated domain while all VMs and the store were undisturbed.

--- a/src/schedule/stall.rs
+++ b/src/schedule/stall.rs
@@ -1,7 +1,5 @@
 //! Stalled and slow tasks: they are stopped so that they can run elsewhere, and their target is ejected.
 
-use std::sync::Arc;
-
 use crate::batch::Name;
 use crate::clock::Millis;
 
@@ -114,7 +112,7 @@
             return;
         }
         if stalled.is_empty() && !target.warmup.is_cold(now) {
-            stalled = self.on_slow_target(index, &slow, is_sound);
+            stalled = self.slowed_by_target(index, &slow, is_sound);
         }
         if stalled.is_empty() {
             return;
@@ -131,10 +129,9 @@
         self.targets.iter().enumerate().any(is_other)
     }
 
-    /// Decides whether `slow` attempts, given by batch and task, are slow because of their target, and returns those to
-    /// stop. The others are long tasks, which would be as long elsewhere. Another attempt that is sound shows that the
-    /// target is.
-    fn on_slow_target(
+    /// The attempts, of those at `slow` tasks, that are slow because of their target. The others are at long tasks, which
+    /// would be as long elsewhere. If `is_sound`, another attempt shows that the target is sound.
+    fn slowed_by_target(
         &mut self,
         index: usize,
         slow: &[(BatchId, usize)],
@@ -143,7 +140,7 @@
         for &(id, task) in slow {
             self.record_slow(index, id, task, is_sound);
         }
-        let target = &mut self.targets[index];
+        let target = &self.targets[index];
         let is_slow_target = target.slow_batches.len() >= SLOW_STREAK_MAX && !is_sound;
         let mut stopped = Vec::new();
         for &(id, task) in slow {
@@ -172,7 +169,7 @@
             target.attempts.iter_mut().find(|known| known.batch == id && known.task == task);
         let Some(attempt) = attempt.filter(|attempt| !attempt.progress.looked_slow) else { return };
         attempt.progress.looked_slow = true;
-        if !target.slow_batches.contains(&id) {
+        if target.slow_batches.len() < SLOW_STREAK_MAX && !target.slow_batches.contains(&id) {
             target.slow_batches.push(id);
         }
         let Some(batch) = self.batches.get(&id) else { return };
@@ -182,7 +179,8 @@
         }
     }
 
-    /// Records the duration of an attempt that is done, which shows what a slow look of its task meant.
+    /// Records the duration of an attempt that is done. A usual one shows that its target is sound, and, if its task looked
+    /// slow on another target, that the other one was slow.
     pub(super) fn record_pace(&mut self, index: usize, attempt: &Attempt, duration: Millis) {
         let is_slow = attempt.progress.looked_slow || is_slow(duration, attempt.expected);
         if is_slow {
@@ -191,7 +189,7 @@
         self.targets[index].slow_batches.clear();
         let Some(batch) = self.batches.get(&attempt.batch) else { return };
         if batch.tasks[attempt.task].slow_on.is_some() {
-            self.tails.record_slow_target(&Arc::clone(&batch.spec.queue));
+            self.tails.record_slow_target(&batch.spec.queue);
         }
     }
 }
--- a/tests/fleet/faults.rs
+++ b/tests/fleet/faults.rs
@@ -10,6 +10,9 @@
 use super::{Fleet, routes};
 use crate::platform::Way;
 
+/// The time within which starts in an evacuated domain end.
+const EVACUATE: Duration = Duration::from_secs(5);
+
 /// Disturbs the fleet until `end`.
 pub fn run(fleet: &Arc<Fleet>, end: Instant) {
     let mut dice = Rng::with_seed(fleet.options.seed ^ 0x5eed);
@@ -59,6 +62,7 @@
         "down" | "slow" | "lost" | "silent" => disturb_store(fleet, kind, dice),
         "crash" => crash(fleet, dice),
         "drain" => drain(fleet, dice),
+        "evacuate" => evacuate(fleet, super::DOMAINS[dice.usize(..super::DOMAINS.len())]),
         "leave" => {
             fleet.callers.leaving.store(25, Ordering::Relaxed);
             thread::sleep(Duration::from_secs_f64(5.5));
@@ -164,6 +168,32 @@
     }
 }
 
+/// Evacuates a domain unless one is evacuated already, and takes it back later. From `EVACUATE` on after the store's answer no task may start there, unless
+/// a VM or the store was disturbed shortly before.
+fn evacuate(fleet: &Fleet, domain: &str) {
+    if !fleet.store.keys("op/evacuate/").is_empty() {
+        return;
+    }
+    let key = format!("op/evacuate/{domain}");
+    fleet.store.put(&key, &serde_json::json!({}));
+    thread::sleep(EVACUATE);
+    let workers = fleet.workers.iter().filter(|worker| worker.domain == domain);
+    let starts = || workers.clone().map(super::Worker::starts).sum::<u64>();
+    let is_calm = || {
+        let are_calm = fleet.vms.iter().all(|vm| vm.is_calm(EVACUATE));
+        are_calm && fleet.store_is_calm(EVACUATE)
+    };
+    let (was_calm, before) = (is_calm(), starts());
+    thread::sleep(Duration::from_secs(2));
+    let after = starts();
+    if was_calm && is_calm() && after > before {
+        let line = format!("EVAC {} {} starts in {domain}", super::time(), after - before);
+        eprintln!("{line}");
+        fleet.ledger.violations.lock().unwrap().push(line);
+    }
+    fleet.store.remove(&key);
+}
+
 /// Lets some workers drain, and takes them back later.
 fn drain(fleet: &Fleet, dice: &mut Rng) {
     let count = fleet.workers.len().div_ceil(15);
--- a/tests/fleet/options.rs
+++ b/tests/fleet/options.rs
@@ -7,9 +7,9 @@
 use std::time::Duration;
 
 /// What disturbs a run; see CONTRIBUTING.md.
-pub const FAULTS: [&str; 15] = [
+pub const FAULTS: [&str; 16] = [
     "freeze", "domain", "kill", "term", "burst", "big", "storm", "down", "slow", "lost", "silent",
-    "crash", "drain", "leave", "reset",
+    "crash", "drain", "leave", "reset", "evacuate",
 ];
 
 /// The options of a run.
