Read bodies in small parts, and let other tasks run between them

Cause: in a debug build beside other load, a crowd of chunked bodies kept the threads of a VM busy, as each read cleared the whole rest of the buffer and a body that had arrived was read without a pause.

Change: at most 8 KiB are cleared and read at once, and other tasks run in between.

--- a/src/http/body.rs
+++ b/src/http/body.rs
@@ -5,7 +5,7 @@
 
 use http_types::Request;
 use smol::Timer;
-use smol::future::FutureExt as _;
+use smol::future::{self, FutureExt as _};
 use smol::io::{AsyncRead, AsyncReadExt as _};
 
 use crate::clock::Millis;
@@ -13,6 +13,9 @@
 
 use super::server::Caller;
 
+/// The most bytes that are read at once.
+const READ_MAX: usize = 8 << 10;
+
 /// The capacity with which a body begins, in bytes.
 const CAPACITY_MIN: usize = 4 << 10;
 
@@ -77,6 +80,8 @@
             if read_some(&mut source, &mut body).await? == 0 {
                 return Ok(body.len());
             }
+            // Bodies that arrive fast must not keep the tasks from running that renew leases and links.
+            future::yield_now().await;
         }
     };
     let expired = async {
@@ -114,13 +119,13 @@
     Ok(())
 }
 
-/// Reads what has arrived, up to the capacity of `body`. Returns the number of bytes; 0 at the end of the body.
+/// Reads what has arrived, up to [`READ_MAX`] and the capacity of `body`. Returns the number of bytes; 0 at the end of the body.
 async fn read_some(
     source: &mut (impl AsyncRead + Unpin),
     body: &mut Vec<u8>,
 ) -> Result<usize, BodyError> {
     let length = body.len();
-    body.resize(body.capacity(), 0);
+    body.resize(body.capacity().min(length + READ_MAX), 0);
     let read = contain::future(source.read(&mut body[length..])).await;
     let read = read.unwrap_or_else(|panicked| Err(io::Error::other(panicked)));
     body.truncate(length + read.as_ref().map_or(0, |bytes| *bytes));
