--- a/src/vm/adapter.rs
+++ b/src/vm/adapter.rs
@@ -9,7 +9,7 @@
 use crate::schedule::{Action, Listing, Reply};
 use crate::store::Entry;
 
-use super::node::Settings;
+use super::settings::Settings;
 
 /// A call to a target in flight.
 pub type CallFuture = Pin<Box<dyn Future<Output = Reply> + Send>>;
--- a/src/vm/start.rs
+++ b/src/vm/start.rs
@@ -19,7 +19,8 @@
 use crate::wire::{Hello, VERSION};
 
 use super::adapter::Adapter;
-use super::node::{Node, Settings};
+use super::node::Node;
+use super::settings::Settings;
 use super::stop;
 
 /// The time within which the head of a request must arrive. An idle connection is closed after it too.
--- a/src/vm/stop.rs
+++ b/src/vm/stop.rs
@@ -14,7 +14,8 @@
 use crate::peer::Handler;
 use crate::schedule::Event;
 
-use super::node::{Node, Settings};
+use super::node::Node;
+use super::settings::Settings;
 
 /// The interval between two checks whether the drain is complete.
 const CHECK_EVERY: Millis = Millis(20);
