Show that a job is answered as done though none of its tasks ran

A client has two jobs under way on one connection, as HTTP/1.1 allows. The VM freezes for 1 s, so that both requests wait for it when it wakes. The HTTP library reads both at once, handles the first, and its buffer is dropped with the second. The client's third job is answered in the place of the second, with 200 and state "done" (rule MIXED).

The stand-ins of this review come with this case; they use the standard library only.

--- /dev/null
+++ b/review/standins-3/cases.rs
@@ -0,0 +1,17 @@
+//! The cases.
+
+mod swallowed;
+
+use std::path::Path;
+
+use crate::record::Record;
+
+/// What broke the rule; `None` if it held. The error says why the case could not run.
+pub type Verdict = Result<Option<String>, String>;
+
+pub fn run(case: &str, program: &Path, record: &Record, has_trouble: bool) -> Verdict {
+    match case {
+        "swallowed" => swallowed::run(program, record, has_trouble),
+        _ => Err(format!("there is no case {case}")),
+    }
+}
