Show that a job runs twice after its connection was reset

A client has two jobs under way on one connection. The connection is reset, and the client sends its jobs again at another VM after 1,300 ms. The first VM looks for the end of the connection behind the unread second request, doesn't see it, and lets the first job run on: both runs are at work at the same time (TWICE).

--- a/review/standins-3/cases.rs
+++ b/review/standins-3/cases.rs
@@ -1,5 +1,6 @@
 //! The cases.
 
+mod pipelined;
 mod swallowed;
 
 use std::path::Path;
@@ -11,6 +12,7 @@
 
 pub fn run(case: &str, program: &Path, record: &Record, has_trouble: bool) -> Verdict {
     match case {
+        "pipelined" => pipelined::run(program, record, has_trouble),
         "swallowed" => swallowed::run(program, record, has_trouble),
         _ => Err(format!("there is no case {case}")),
     }
--- /dev/null
+++ b/review/standins-3/cases/pipelined.rs
@@ -0,0 +1,177 @@
+//! A client sends two jobs on one connection, the second before the first is answered, as HTTP/1.1 allows. The connection
+//! is reset, and the client sends its jobs again at another VM after `resendMs`.
+
+use std::io::{self, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::os::fd::AsRawFd;
+use std::path::Path;
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use super::Verdict;
+use crate::fleet::{Fleet, HOST, PREFIX, job, job_that_lasts};
+use crate::record::Record;
+use crate::worker::{Event, KIND_A, KIND_B};
+
+/// `resendMs` of the small sites.
+const RESEND: Duration = Duration::from_millis(1300);
+
+/// The deadline of clients in the small sites.
+const DEADLINE_MS: u64 = 1500;
+
+/// The work of the first job, within that of the site's longer jobs (900 ms on average, 3,600 at most), and its estimate.
+const WORK_MS: u64 = 1470;
+const ESTIMATE_MS: u64 = 1200;
+
+/// When the second job is sent, and when the connection is reset, after the first job was sent.
+const SECOND_AFTER: Duration = Duration::from_millis(20);
+const RESET_AFTER: Duration = Duration::from_millis(50);
+
+const FIRST: &str = "3f60b1c7d2e84a95";
+const SECOND: &str = "3f60b1c7d2e84a96";
+
+pub fn run(program: &Path, record: &Record, has_trouble: bool) -> Verdict {
+    let fleet = Fleet::start(program, record, &["a", "b"], 2, &[KIND_A, KIND_A, KIND_B]);
+    let fleet = Arc::new(fleet.map_err(|error| error.to_string())?);
+    let long = job_that_lasts(WORK_MS, &[(1, ESTIMATE_MS)], 6800);
+    let short = job(&[(1, 60)], 6800);
+    let sent_at = Instant::now();
+    let proxy = Proxy::start(fleet.front(0)).map_err(|error| error.to_string())?;
+    let mut client = TcpStream::connect(proxy.address).map_err(|error| error.to_string())?;
+    let send = |client: &mut TcpStream, id: &str, body: &str| {
+        record.line(&format!(
+            "client sends POST {id} on its connection to {}: {body}",
+            fleet.vms[0].name
+        ));
+        client.write_all(request(id, body).as_bytes()).map_err(|error| error.to_string())
+    };
+    send(&mut client, FIRST, &long)?;
+    thread::sleep(SECOND_AFTER);
+    send(&mut client, SECOND, &short)?;
+    thread::sleep(RESET_AFTER.saturating_sub(sent_at.elapsed()));
+    if !fleet.events(FIRST).iter().any(|event| event.what == "start") {
+        return Err("the first job has not begun".to_owned());
+    }
+    if has_trouble {
+        let reset_at = Instant::now();
+        proxy.reset();
+        record.line("the client's connection is reset, at both ends");
+        if read_all(&mut client, 1).is_ok_and(|text| !text.is_empty()) {
+            return Err("the client got an answer before the reset".to_owned());
+        }
+        thread::sleep(RESEND.saturating_sub(reset_at.elapsed()));
+        let second = fleet.post_in_background(2, SECOND, &short, DEADLINE_MS);
+        drop(fleet.post(2, FIRST, &long, DEADLINE_MS));
+        drop(second.join());
+    } else {
+        let text = read_all(&mut client, 2).unwrap_or_default();
+        record.line(&format!(
+            "client gets {} answers on its connection",
+            text.matches("HTTP/1.1 200").count()
+        ));
+    }
+    thread::sleep(Duration::from_millis(300));
+    let events = fleet.ledger.lock().unwrap().clone();
+    let overlaps = overlaps(&events);
+    Ok(overlaps.first().map(|(task, first, second, together)| {
+        format!(
+            "TWICE: {task} ran on {first} and on {second} at the same time, for {} ms.",
+            together.as_millis()
+        )
+    }))
+}
+
+fn request(id: &str, body: &str) -> String {
+    format!(
+        "POST {PREFIX}{id} HTTP/1.1\r\nHost: {HOST}\r\nContent-Type: application/json\r\n\
+         Deadline-Ms: {DEADLINE_MS}\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+/// Reads until `answers` answers have come, the connection ends, or the client's deadline has passed.
+fn read_all(client: &mut TcpStream, answers: usize) -> io::Result<String> {
+    client.set_read_timeout(Some(Duration::from_millis(2 * DEADLINE_MS)))?;
+    let mut text = String::new();
+    let mut buffer = [0; 4096];
+    while text.matches("\"state\"").count() < answers {
+        let length = client.read(&mut buffer)?;
+        if length == 0 {
+            break;
+        }
+        text.push_str(&String::from_utf8_lossy(&buffer[..length]));
+    }
+    Ok(text)
+}
+
+/// The pairs of runs of one task that were at work at the same time, with the workers and how long.
+fn overlaps(events: &[Event]) -> Vec<(String, String, String, Duration)> {
+    let mut runs = Vec::<(&Event, Instant)>::new();
+    for (index, start) in events.iter().enumerate().filter(|(_, event)| event.what == "start") {
+        let end = events[index..].iter().find(|event| {
+            event.what != "start" && event.task == start.task && event.worker == start.worker
+        });
+        runs.push((start, end.map_or_else(Instant::now, |event| event.at)));
+    }
+    let mut found = Vec::new();
+    for (index, (first, first_end)) in runs.iter().enumerate() {
+        for (second, second_end) in &runs[index + 1..] {
+            let together = (*first_end.min(second_end)).saturating_duration_since(second.at);
+            if first.task == second.task && together > Duration::ZERO {
+                let workers = (first.worker.clone(), second.worker.clone());
+                found.push((first.task.clone(), workers.0, workers.1, together));
+            }
+        }
+    }
+    found
+}
+
+/// Passes one connection on, until it resets both of its ends.
+struct Proxy {
+    address: SocketAddr,
+    ends: Arc<Mutex<Vec<TcpStream>>>,
+}
+
+impl Proxy {
+    fn start(to: SocketAddr) -> io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let address = listener.local_addr()?;
+        let ends = Arc::<Mutex<Vec<TcpStream>>>::default();
+        let kept = Arc::clone(&ends);
+        thread::spawn(move || {
+            let Ok((client, _)) = listener.accept() else { return };
+            let Ok(server) = TcpStream::connect(to) else { return };
+            drop((client.set_nodelay(true), server.set_nodelay(true)));
+            for (from, to) in [(&client, &server), (&server, &client)] {
+                let (Ok(mut from), Ok(mut to)) = (from.try_clone(), to.try_clone()) else { return };
+                thread::spawn(move || io::copy(&mut from, &mut to));
+            }
+            kept.lock().unwrap().extend([client, server]);
+        });
+        Ok(Self { address, ends })
+    }
+
+    /// Resets the connection on both sides.
+    fn reset(&self) {
+        let ends = std::mem::take(&mut *self.ends.lock().unwrap());
+        for end in &ends {
+            linger_not(end);
+            // Ends the threads that read from it, and with them their copies of the descriptor.
+            drop(end.shutdown(Shutdown::Read));
+        }
+        thread::sleep(Duration::from_millis(2));
+    }
+}
+
+/// Makes the close of a connection a reset.
+fn linger_not(stream: &TcpStream) {
+    const SOL_SOCKET: i32 = 1;
+    const SO_LINGER: i32 = 13;
+    unsafe extern "C" {
+        fn setsockopt(socket: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
+    }
+    let value = [1_i32, 0];
+    // SAFETY: the descriptor is open, and the value is a `struct linger` of two integers.
+    unsafe { setsockopt(stream.as_raw_fd(), SOL_SOCKET, SO_LINGER, value.as_ptr(), 8) };
+}
