--- a/review/standins-3/cases.rs
+++ b/review/standins-3/cases.rs
@@ -1,5 +1,6 @@
 //! The cases.
 
+mod late_copy;
 mod pipelined;
 mod swallowed;
 
@@ -12,6 +13,7 @@
 
 pub fn run(case: &str, program: &Path, record: &Record, has_trouble: bool) -> Verdict {
     match case {
+        "late-copy" => late_copy::run(program, record, has_trouble),
         "pipelined" => pipelined::run(program, record, has_trouble),
         "swallowed" => swallowed::run(program, record, has_trouble),
         _ => Err(format!("there is no case {case}")),
