Show that a cancelled job goes on when its VM wakes

A VM freezes for 4 s while a client waits there. The client cancels its job at another VM and gets 410, as the registration of the frozen VM has lapsed. When the VM wakes, the job is run again from its first step, and tasks start more than 3 s after the 410, with all machines in touch (rule UNASKED).

--- a/review/standins-3/cases.rs
+++ b/review/standins-3/cases.rs
@@ -1,6 +1,7 @@
 //! The cases.
 
 mod late_copy;
+mod lost_sight;
 mod pipelined;
 mod swallowed;
 
@@ -14,6 +15,7 @@
 pub fn run(case: &str, program: &Path, record: &Record, has_trouble: bool) -> Verdict {
     match case {
         "late-copy" => late_copy::run(program, record, has_trouble),
+        "lost-sight" => lost_sight::run(program, record, has_trouble),
         "pipelined" => pipelined::run(program, record, has_trouble),
         "swallowed" => swallowed::run(program, record, has_trouble),
         _ => Err(format!("there is no case {case}")),
