Show that tasks start on a worker that came back as another kind

A worker starts again under its id as another kind. Its connections close, and 20 ms later a job arrives that needs the former kind's label. The VM starts all three tasks there before it asks which process answers (rules ROUTE and LIMIT).

--- a/review/standins-3/cases.rs
+++ b/review/standins-3/cases.rs
@@ -1,5 +1,6 @@
 //! The cases.
 
+mod fast_restart;
 mod late_copy;
 mod lost_sight;
 mod pipelined;
@@ -14,6 +15,7 @@
 
 pub fn run(case: &str, program: &Path, record: &Record, has_trouble: bool) -> Verdict {
     match case {
+        "fast-restart" => fast_restart::run(program, record, has_trouble),
         "late-copy" => late_copy::run(program, record, has_trouble),
         "lost-sight" => lost_sight::run(program, record, has_trouble),
         "pipelined" => pipelined::run(program, record, has_trouble),
--- a/review/standins-3/worker.rs
+++ b/review/standins-3/worker.rs
@@ -39,8 +39,10 @@
     pub task: String,
     /// `start`, or how the run ended.
     pub what: &'static str,
-    /// After a start: the cores that all runs on the worker take, in thousandths, and its room.
-    pub load: (u64, u64),
+    /// The kind of the worker at that time.
+    pub kind: Kind,
+    /// After a start: the cores that all runs on the worker take, in thousandths.
+    pub taken: u64,
 }
 
 /// What has run on all workers.
@@ -197,7 +199,7 @@
     pub fn restart(&self, kind: Kind, after: Duration) {
         let mut state = self.shared.state.lock().unwrap();
         for run in std::mem::take(&mut state.running) {
-            self.shared.note(&run.task, "gone", (0, 0));
+            self.shared.note(&run.task, "gone", state.kind, 0);
         }
         *state = State::new(kind, Instant::now() + after);
         drop(state);
@@ -254,10 +256,10 @@
         self.store.put(&format!("servers/{}", self.id), &entry);
     }
 
-    fn note(&self, task: &str, what: &'static str, load: (u64, u64)) {
+    fn note(&self, task: &str, what: &'static str, kind: Kind, taken: u64) {
         self.record.line(&format!("worker {} {what} {task}", self.id));
         let (worker, task) = (self.id.clone(), task.to_owned());
-        let event = Event { at: Instant::now(), worker, task, what, load };
+        let event = Event { at: Instant::now(), worker, task, what, kind, taken };
         self.ledger.lock().unwrap().push(event);
     }
 
@@ -276,7 +278,7 @@
                 state.running.push(run);
                 continue;
             };
-            self.note(&run.task, how, (0, 0));
+            self.note(&run.task, how, state.kind, 0);
             state.ended.push((state.next_end, run.task.clone(), run.number, how));
             state.next_end += 1;
             state.closed.push((run.task, run.number));
@@ -348,7 +350,7 @@
             stops: None,
         });
         let taken = state.running.iter().map(|run| run.cpu).sum::<u64>();
-        self.note(task, "start", (taken, state.kind.cpu));
+        self.note(task, "start", state.kind, taken);
         state.reply(200, None)
     }
 
