Show that a job can't be cancelled after its route got another name

A configuration gives a route another name, with the same host, prefix and service. A job that has arrived before is then cancelled under its old path: the answer is 410, and the job goes on, with starts later than 3 s after it (rule UNASKED). There is no disruption but the change of the configuration.

--- a/review/standins-3/cases.rs
+++ b/review/standins-3/cases.rs
@@ -1,9 +1,9 @@
 //! The cases.
 
-mod fast_restart;
 mod late_copy;
 mod lost_sight;
 mod pipelined;
+mod renamed;
 mod swallowed;
 
 use std::path::Path;
@@ -15,10 +15,10 @@
 
 pub fn run(case: &str, program: &Path, record: &Record, has_trouble: bool) -> Verdict {
     match case {
-        "fast-restart" => fast_restart::run(program, record, has_trouble),
         "late-copy" => late_copy::run(program, record, has_trouble),
         "lost-sight" => lost_sight::run(program, record, has_trouble),
         "pipelined" => pipelined::run(program, record, has_trouble),
+        "renamed" => renamed::run(program, record, has_trouble),
         "swallowed" => swallowed::run(program, record, has_trouble),
         _ => Err(format!("there is no case {case}")),
     }
--- a/review/standins-3/fleet.rs
+++ b/review/standins-3/fleet.rs
@@ -13,7 +13,7 @@
 use crate::json::{Value, object};
 use crate::record::Record;
 use crate::store::Store;
-use crate::worker::{Event, Kind, Ledger, Worker};
+use crate::worker::{self, Event, Kind, Ledger};
 
 const FRONT: u16 = 8161;
 const READY: u16 = 8167;
@@ -26,12 +26,14 @@
 pub const HOST: &str = "desk.example";
 pub const PREFIX: &str = "/holds/";
 
+/// The timeout of the route.
+const TIMEOUT_MS: u64 = 10_000;
+
 /// The longest time that the deployment may take to serve its first job.
 const START_MAX: Duration = Duration::from_secs(20);
 
 pub struct Fleet {
     pub store: Store,
-    pub workers: Vec<Worker>,
     pub ledger: Ledger,
     pub vms: Vec<Vm>,
     pub record: Record,
@@ -84,17 +86,15 @@
         fs::create_dir(&directory)?;
         FOLDERS.lock().unwrap().push(directory.clone());
         let net = free_net(nanos, vms * zones.len())?;
-        let mut all = Vec::new();
         for zone in zones {
             for (index, kind) in kinds.iter().enumerate() {
                 let id = format!("i-{zone}-{index}");
-                all.push(Worker::start(&id, zone, *kind, &store, &ledger, record)?);
+                worker::start(&id, zone, *kind, &store, &ledger, record)?;
             }
         }
         let zones = zones.iter().flat_map(|zone| vec![(*zone).to_owned(); vms]).collect::<Vec<_>>();
         let mut fleet = Self {
             store,
-            workers: all,
             ledger,
             vms: Vec::new(),
             record: record.clone(),
@@ -103,7 +103,7 @@
             net,
             zones,
         };
-        fleet.configure(1, 10_000);
+        fleet.configure(1, "r-holds");
         for index in 0..fleet.zones.len() {
             let vm = fleet.launch(index)?;
             fleet.vms.push(vm);
@@ -112,14 +112,14 @@
         Ok(fleet)
     }
 
-    /// Writes a configuration with one route.
-    pub fn configure(&self, version: u64, timeout_ms: u64) {
+    /// Writes a configuration with one route. The name of the route is the operator's; clients don't know it.
+    pub fn configure(&self, version: u64, name: &str) {
         let route = object([
-            ("name", "r-holds".into()),
+            ("name", name.into()),
             ("host", HOST.into()),
             ("prefix", PREFIX.into()),
             ("kind", "unsafe".into()),
-            ("timeoutMs", timeout_ms.into()),
+            ("timeoutMs", TIMEOUT_MS.into()),
             ("sloMs", 500.into()),
             ("priority", 0.into()),
             ("service", "desk".into()),
@@ -384,14 +384,6 @@
     job_that_lasts(longest, steps, cpu)
 }
 
-/// A job of some tasks of one step that need a label.
-pub fn job_with_label(count: u64, ms: u64, cpu: u64, label: &str) -> String {
-    let step = format!(
-        r#"{{"count":{count},"cpu":{cpu},"memMb":64,"estMs":{ms},"requiredLabel":"{label}"}}"#
-    );
-    format!(r#"{{"spec":"{ms} {cpu}","bestEffort":true,"steps":[{step}]}}"#)
-}
-
 /// As [`job`], with tasks that last longer or shorter than the client estimates.
 pub fn job_that_lasts(longest: u64, steps: &[(u64, u64)], cpu: u64) -> String {
     let steps = steps.iter().enumerate().map(|(index, (count, ms))| {
