--- a/review/standins-3/cases.rs
+++ b/review/standins-3/cases.rs
@@ -1,7 +1,5 @@
 //! The cases.
 
-mod late_copy;
-mod lost_sight;
 mod pipelined;
 mod renamed;
 mod swallowed;
@@ -15,8 +13,6 @@
 
 pub fn run(case: &str, program: &Path, record: &Record, has_trouble: bool) -> Verdict {
     match case {
-        "late-copy" => late_copy::run(program, record, has_trouble),
-        "lost-sight" => lost_sight::run(program, record, has_trouble),
         "pipelined" => pipelined::run(program, record, has_trouble),
         "renamed" => renamed::run(program, record, has_trouble),
         "swallowed" => swallowed::run(program, record, has_trouble),
--- a/review/standins-3/cases/pipelined.rs
+++ b/review/standins-3/cases/pipelined.rs
@@ -2,15 +2,15 @@
 //! is reset, and the client sends its jobs again at another VM after `resendMs`.
 
 use std::io::{self, Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::os::fd::AsRawFd;
+use std::net::TcpStream;
 use std::path::Path;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
 use super::Verdict;
-use crate::fleet::{Fleet, HOST, PREFIX, job, job_that_lasts};
+use crate::fleet::{Fleet, job, job_that_lasts, request};
+use crate::proxy::Proxy;
 use crate::record::Record;
 use crate::worker::{Event, KIND_A, KIND_B};
 
@@ -44,7 +44,9 @@
             "client sends POST {id} on its connection to {}: {body}",
             fleet.vms[0].name
         ));
-        client.write_all(request(id, body).as_bytes()).map_err(|error| error.to_string())
+        client
+            .write_all(request(id, body, DEADLINE_MS).as_bytes())
+            .map_err(|error| error.to_string())
     };
     send(&mut client, FIRST, &long)?;
     thread::sleep(SECOND_AFTER);
@@ -82,14 +84,6 @@
     }))
 }
 
-fn request(id: &str, body: &str) -> String {
-    format!(
-        "POST {PREFIX}{id} HTTP/1.1\r\nHost: {HOST}\r\nContent-Type: application/json\r\n\
-         Deadline-Ms: {DEADLINE_MS}\r\nContent-Length: {}\r\n\r\n{body}",
-        body.len()
-    )
-}
-
 /// Reads until `answers` answers have come, the connection ends, or the client's deadline has passed.
 fn read_all(client: &mut TcpStream, answers: usize) -> io::Result<String> {
     client.set_read_timeout(Some(Duration::from_millis(2 * DEADLINE_MS)))?;
@@ -126,52 +120,3 @@
     }
     found
 }
-
-/// Passes one connection on, until it resets both of its ends.
-struct Proxy {
-    address: SocketAddr,
-    ends: Arc<Mutex<Vec<TcpStream>>>,
-}
-
-impl Proxy {
-    fn start(to: SocketAddr) -> io::Result<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0")?;
-        let address = listener.local_addr()?;
-        let ends = Arc::<Mutex<Vec<TcpStream>>>::default();
-        let kept = Arc::clone(&ends);
-        thread::spawn(move || {
-            let Ok((client, _)) = listener.accept() else { return };
-            let Ok(server) = TcpStream::connect(to) else { return };
-            drop((client.set_nodelay(true), server.set_nodelay(true)));
-            for (from, to) in [(&client, &server), (&server, &client)] {
-                let (Ok(mut from), Ok(mut to)) = (from.try_clone(), to.try_clone()) else { return };
-                thread::spawn(move || io::copy(&mut from, &mut to));
-            }
-            kept.lock().unwrap().extend([client, server]);
-        });
-        Ok(Self { address, ends })
-    }
-
-    /// Resets the connection on both sides.
-    fn reset(&self) {
-        let ends = std::mem::take(&mut *self.ends.lock().unwrap());
-        for end in &ends {
-            linger_not(end);
-            // Ends the threads that read from it, and with them their copies of the descriptor.
-            drop(end.shutdown(Shutdown::Read));
-        }
-        thread::sleep(Duration::from_millis(2));
-    }
-}
-
-/// Makes the close of a connection a reset.
-fn linger_not(stream: &TcpStream) {
-    const SOL_SOCKET: i32 = 1;
-    const SO_LINGER: i32 = 13;
-    unsafe extern "C" {
-        fn setsockopt(socket: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
-    }
-    let value = [1_i32, 0];
-    // SAFETY: the descriptor is open, and the value is a `struct linger` of two integers.
-    unsafe { setsockopt(stream.as_raw_fd(), SOL_SOCKET, SO_LINGER, value.as_ptr(), 8) };
-}
--- a/review/standins-3/cases/swallowed.rs
+++ b/review/standins-3/cases/swallowed.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use super::Verdict;
-use crate::fleet::{Fleet, HOST, PREFIX, job};
+use crate::fleet::{Fleet, job, request};
 use crate::record::Record;
 use crate::worker::{KIND_A, KIND_B};
 
@@ -27,6 +27,7 @@
     let fleet = Fleet::start(program, record, &["a", "b"], 2, &[KIND_A, KIND_A, KIND_B]);
     let fleet = fleet.map_err(|error| error.to_string())?;
     let vm = &fleet.vms[0];
+    let body = job(&[(1, 60)], 6800);
     let mut client = TcpStream::connect(fleet.front(0)).map_err(|error| error.to_string())?;
     drop(client.set_nodelay(true));
     drop(client.set_read_timeout(Some(Duration::from_millis(DEADLINE_MS))));
@@ -41,7 +42,9 @@
             answers.extend(receive(&mut client, record, &vm.name));
         }
         record.line(&format!("client sends POST {id} on its connection to {}", vm.name));
-        client.write_all(request(id).as_bytes()).map_err(|error| error.to_string())?;
+        client
+            .write_all(request(id, &body, DEADLINE_MS).as_bytes())
+            .map_err(|error| error.to_string())?;
         thread::sleep(PAUSE);
         if number == 1 && has_trouble {
             thread::sleep(FREEZE - 2 * PAUSE);
@@ -69,15 +72,6 @@
     }))
 }
 
-fn request(id: &str) -> String {
-    let body = job(&[(1, 60)], 6800);
-    format!(
-        "POST {PREFIX}{id} HTTP/1.1\r\nHost: {HOST}\r\nContent-Type: application/json\r\n\
-         Deadline-Ms: {DEADLINE_MS}\r\nContent-Length: {}\r\n\r\n{body}",
-        body.len()
-    )
-}
-
 /// The next answer on the connection: its status line and its body. `None` if there is none by the deadline.
 fn receive(client: &mut TcpStream, record: &Record, vm: &str) -> Option<String> {
     let mut text = String::new();
--- a/review/standins-3/fleet.rs
+++ b/review/standins-3/fleet.rs
@@ -13,7 +13,7 @@
 use crate::json::{Value, object};
 use crate::record::Record;
 use crate::store::Store;
-use crate::worker::{self, Event, Kind, Ledger};
+use crate::worker::{Event, Kind, Ledger, Worker};
 
 const FRONT: u16 = 8161;
 const READY: u16 = 8167;
@@ -23,8 +23,8 @@
 const METRICS: u16 = 9100;
 
 /// The host and the prefix of the only route.
-pub const HOST: &str = "desk.example";
-pub const PREFIX: &str = "/holds/";
+const HOST: &str = "desk.example";
+const PREFIX: &str = "/holds/";
 
 /// The timeout of the route.
 const TIMEOUT_MS: u64 = 10_000;
@@ -34,6 +34,7 @@
 
 pub struct Fleet {
     pub store: Store,
+    pub workers: Vec<Worker>,
     pub ledger: Ledger,
     pub vms: Vec<Vm>,
     pub record: Record,
@@ -86,15 +87,17 @@
         fs::create_dir(&directory)?;
         FOLDERS.lock().unwrap().push(directory.clone());
         let net = free_net(nanos, vms * zones.len())?;
+        let mut all = Vec::new();
         for zone in zones {
             for (index, kind) in kinds.iter().enumerate() {
                 let id = format!("i-{zone}-{index}");
-                worker::start(&id, zone, *kind, &store, &ledger, record)?;
+                all.push(Worker::start(&id, zone, *kind, &store, &ledger, record)?);
             }
         }
         let zones = zones.iter().flat_map(|zone| vec![(*zone).to_owned(); vms]).collect::<Vec<_>>();
         let mut fleet = Self {
             store,
+            workers: all,
             ledger,
             vms: Vec::new(),
             record: record.clone(),
@@ -384,6 +387,14 @@
     job_that_lasts(longest, steps, cpu)
 }
 
+/// A job of some tasks of one step that need a label.
+pub fn job_with_label(count: u64, ms: u64, cpu: u64, label: &str) -> String {
+    let step = format!(
+        r#"{{"count":{count},"cpu":{cpu},"memMb":64,"estMs":{ms},"requiredLabel":"{label}"}}"#
+    );
+    format!(r#"{{"spec":"{ms} {cpu}","bestEffort":true,"steps":[{step}]}}"#)
+}
+
 /// As [`job`], with tasks that last longer or shorter than the client estimates.
 pub fn job_that_lasts(longest: u64, steps: &[(u64, u64)], cpu: u64) -> String {
     let steps = steps.iter().enumerate().map(|(index, (count, ms))| {
@@ -427,3 +438,12 @@
     }
     Err(io::Error::other("no free loopback addresses"))
 }
+
+/// A job's request as bytes, for a client that keeps its connection.
+pub fn request(id: &str, body: &str, deadline_ms: u64) -> String {
+    format!(
+        "POST {PREFIX}{id} HTTP/1.1\r\nHost: {HOST}\r\nContent-Type: application/json\r\n\
+         Deadline-Ms: {deadline_ms}\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
--- a/review/standins-3/http.rs
+++ b/review/standins-3/http.rs
@@ -1,8 +1,8 @@
 //! HTTP/1.1 as far as the stand-ins need it: a server with a thread a connection, and a client.
 
 use std::io::{self, BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
 
@@ -30,17 +30,30 @@
 /// Answers a request; `None` closes the connection without an answer.
 pub type Handler = Arc<dyn Fn(Request) -> Option<(u16, String)> + Send + Sync>;
 
+/// The open connections of a server.
+pub type Connections = Arc<Mutex<Vec<TcpStream>>>;
+
 /// Serves on a free loopback port.
-pub fn serve(handler: Handler) -> io::Result<SocketAddr> {
+pub fn serve(handler: Handler) -> io::Result<(SocketAddr, Connections)> {
     let listener = TcpListener::bind("127.0.0.1:0")?;
     let address = listener.local_addr()?;
+    let connections = Connections::default();
+    let open = Arc::clone(&connections);
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
             let handler = Arc::clone(&handler);
+            open.lock().unwrap().extend(stream.try_clone());
             thread::spawn(move || drop(serve_connection(stream, &handler)));
         }
     });
-    Ok(address)
+    Ok((address, connections))
+}
+
+/// Closes the connections that are open now, as the end of a process does.
+pub fn close_all(connections: &Connections) {
+    for stream in connections.lock().unwrap().drain(..) {
+        drop(stream.shutdown(Shutdown::Both));
+    }
 }
 
 fn serve_connection(stream: TcpStream, handler: &Handler) -> io::Result<()> {
--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -6,6 +6,7 @@
 mod fleet;
 mod http;
 mod json;
+mod proxy;
 mod record;
 mod store;
 mod worker;
--- a/review/standins-3/store.rs
+++ b/review/standins-3/store.rs
@@ -105,7 +105,7 @@
         };
         let shared = Arc::new(Shared { state: Mutex::new(state), changed: Condvar::new() });
         let serving = Arc::clone(&shared);
-        let address = http::serve(Arc::new(move |request| {
+        let (address, _) = http::serve(Arc::new(move |request| {
             thread::sleep(LATENCY);
             Some(serving.answer(&request))
         }))?;
--- a/review/standins-3/worker.rs
+++ b/review/standins-3/worker.rs
@@ -7,7 +7,7 @@
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use crate::http::{self, Request};
+use crate::http::{self, Connections, Request};
 use crate::json::{Value, object};
 use crate::record::Record;
 use crate::store::Store;
@@ -39,17 +39,30 @@
     pub task: String,
     /// `start`, or how the run ended.
     pub what: &'static str,
+    /// The kind of the worker at that time.
+    pub kind: Kind,
+    /// After a start: the cores that all runs on the worker take, in thousandths.
+    pub taken: u64,
 }
 
 /// What has run on all workers.
 pub type Ledger = Arc<Mutex<Vec<Event>>>;
 
+#[derive(Clone, Debug)]
+pub struct Worker {
+    pub id: String,
+    shared: Arc<Shared>,
+    connections: Connections,
+}
+
 #[derive(Debug)]
 struct Shared {
     id: String,
     zone: String,
+    address: Mutex<Option<SocketAddr>>,
     state: Mutex<State>,
     changed: Condvar,
+    store: Store,
     ledger: Ledger,
     record: Record,
 }
@@ -57,9 +70,11 @@
 #[derive(Debug)]
 struct State {
     kind: Kind,
-    /// The Unix time of the start, in milliseconds.
+    /// The Unix time of the start of this life, in milliseconds.
     born: u64,
     started_at: Instant,
+    /// When this life answers its first call.
+    up_at: Instant,
     fence: u64,
     /// When the lease ends, on the worker's clock.
     lease: u64,
@@ -68,30 +83,36 @@
     next_end: u64,
     /// Runs that were stopped or have ended, by task.
     closed: Vec<(String, u64)>,
+    /// When a hold last arrived.
+    held_at: Option<Instant>,
 }
 
 #[derive(Clone, Debug)]
 struct Run {
     task: String,
     number: u64,
+    cpu: u64,
     started: u64,
     ends: u64,
     stops: Option<u64>,
 }
 
 impl State {
-    fn new(kind: Kind) -> Self {
+    /// A life that knows nothing of a former one.
+    fn new(kind: Kind, up_at: Instant) -> Self {
         let born = SystemTime::now().duration_since(UNIX_EPOCH);
         Self {
             kind,
             born: born.map_or(1, |time| time.as_millis() as u64),
-            started_at: Instant::now(),
+            started_at: up_at,
+            up_at,
             fence: 0,
             lease: 0,
             running: Vec::new(),
             ended: Vec::new(),
             next_end: 1,
             closed: Vec::new(),
+            held_at: None,
         }
     }
 
@@ -132,68 +153,113 @@
     }
 }
 
-/// Starts a worker, which writes its entry to the store from then on.
-pub fn start(
-    id: &str,
-    zone: &str,
-    kind: Kind,
-    store: &Store,
-    ledger: &Ledger,
-    record: &Record,
-) -> io::Result<()> {
-    let shared = Arc::new(Shared {
-        id: id.to_owned(),
-        zone: zone.to_owned(),
-        state: Mutex::new(State::new(kind)),
-        changed: Condvar::new(),
-        ledger: Arc::clone(ledger),
-        record: record.clone(),
-    });
-    let serving = Arc::clone(&shared);
-    let address = http::serve(Arc::new(move |request| Some(serving.answer(&request))))?;
-    let running = Arc::clone(&shared);
-    thread::spawn(move || {
-        loop {
-            thread::sleep(Duration::from_millis(2));
-            running.advance(&mut running.state.lock().unwrap());
-        }
-    });
-    let store = store.clone();
-    thread::spawn(move || {
-        for sequence in 1.. {
-            store.put(&format!("servers/{}", shared.id), &shared.entry(address, sequence));
-            thread::sleep(HEARTBEAT);
+impl Worker {
+    /// Starts a worker, which writes its entry to the store from then on.
+    pub fn start(
+        id: &str,
+        zone: &str,
+        kind: Kind,
+        store: &Store,
+        ledger: &Ledger,
+        record: &Record,
+    ) -> io::Result<Self> {
+        let shared = Arc::new(Shared {
+            id: id.to_owned(),
+            zone: zone.to_owned(),
+            address: Mutex::default(),
+            state: Mutex::new(State::new(kind, Instant::now())),
+            changed: Condvar::new(),
+            store: store.clone(),
+            ledger: Arc::clone(ledger),
+            record: record.clone(),
+        });
+        let serving = Arc::clone(&shared);
+        let (address, connections) =
+            http::serve(Arc::new(move |request| serving.answer(&request)))?;
+        *shared.address.lock().unwrap() = Some(address);
+        let running = Arc::clone(&shared);
+        thread::spawn(move || {
+            loop {
+                thread::sleep(Duration::from_millis(2));
+                running.advance(&mut running.state.lock().unwrap());
+            }
+        });
+        let beating = Arc::clone(&shared);
+        thread::spawn(move || {
+            for sequence in 1.. {
+                beating.write_entry(sequence);
+                thread::sleep(HEARTBEAT);
+            }
+        });
+        Ok(Self { id: id.to_owned(), shared, connections })
+    }
+
+    /// Ends the worker's process and starts it again under its id, as another kind. Its connections close at once; those
+    /// that are opened meanwhile wait until the new process is up, which then writes its entry.
+    pub fn restart(&self, kind: Kind, after: Duration) {
+        let mut state = self.shared.state.lock().unwrap();
+        for run in std::mem::take(&mut state.running) {
+            self.shared.note(&run.task, "gone", state.kind, 0);
         }
-    });
-    Ok(())
+        *state = State::new(kind, Instant::now() + after);
+        drop(state);
+        http::close_all(&self.connections);
+        self.shared.changed.notify_all();
+        self.shared.record.line(&format!("worker {} starts again as kind {}", self.id, kind.label));
+        let shared = Arc::clone(&self.shared);
+        thread::spawn(move || {
+            thread::sleep(after);
+            shared.write_entry(1);
+        });
+    }
+
+    /// How long ago the last hold arrived that still waits or has been answered.
+    pub fn since_hold(&self) -> Option<Duration> {
+        self.shared.state.lock().unwrap().held_at.map(|at| at.elapsed())
+    }
 }
 
 impl Shared {
-    fn entry(&self, address: SocketAddr, sequence: u64) -> Value {
-        let state = self.state.lock().unwrap();
-        let room =
-            object([("cpu", state.kind.cpu.into()), ("memMb", 32_768.into()), ("gpu", 0.into())]);
-        let rack = format!("r-{}", self.zone);
-        object([
-            ("service", "desk".into()),
-            ("addr", address.to_string().as_str().into()),
-            ("zone", self.zone.as_str().into()),
-            ("version", "v1".into()),
-            ("slots", 8.into()),
-            ("state", "ready".into()),
-            ("coldLeftMs", 0.into()),
-            ("room", room),
-            ("labels", vec![state.kind.label.into(), rack.as_str().into()].into()),
-            ("clockMs", state.clock().into()),
-            ("born", state.born.into()),
-            ("seq", sequence.into()),
-        ])
+    fn write_entry(&self, sequence: u64) {
+        let Some(address) = *self.address.lock().unwrap() else { return };
+        let entry = {
+            let state = self.state.lock().unwrap();
+            if state.up_at > Instant::now() {
+                return;
+            }
+            object([
+                ("service", "desk".into()),
+                ("addr", address.to_string().as_str().into()),
+                ("zone", self.zone.as_str().into()),
+                ("version", "v1".into()),
+                ("slots", 8.into()),
+                ("state", "ready".into()),
+                ("coldLeftMs", 0.into()),
+                (
+                    "room",
+                    object([
+                        ("cpu", state.kind.cpu.into()),
+                        ("memMb", 32_768.into()),
+                        ("gpu", 0.into()),
+                    ]),
+                ),
+                (
+                    "labels",
+                    vec![state.kind.label.into(), format!("r-{}", self.zone).as_str().into()]
+                        .into(),
+                ),
+                ("clockMs", state.clock().into()),
+                ("born", state.born.into()),
+                ("seq", sequence.into()),
+            ])
+        };
+        self.store.put(&format!("servers/{}", self.id), &entry);
     }
 
-    fn note(&self, task: &str, what: &'static str) {
+    fn note(&self, task: &str, what: &'static str, kind: Kind, taken: u64) {
         self.record.line(&format!("worker {} {what} {task}", self.id));
         let (worker, task) = (self.id.clone(), task.to_owned());
-        let event = Event { at: Instant::now(), worker, task, what };
+        let event = Event { at: Instant::now(), worker, task, what, kind, taken };
         self.ledger.lock().unwrap().push(event);
     }
 
@@ -212,7 +278,7 @@
                 state.running.push(run);
                 continue;
             };
-            self.note(&run.task, how);
+            self.note(&run.task, how, state.kind, 0);
             state.ended.push((state.next_end, run.task.clone(), run.number, how));
             state.next_end += 1;
             state.closed.push((run.task, run.number));
@@ -223,29 +289,32 @@
         }
     }
 
-    fn answer(&self, request: &Request) -> (u16, String) {
+    /// Answers a call; `None` if the process that got it has ended.
+    fn answer(&self, request: &Request) -> Option<(u16, String)> {
         if request.method == "GET" && request.path == "/healthz" {
-            return (200, String::new());
+            return Some((200, String::new()));
         }
         if request.header("Expect-Instance").is_some_and(|id| id != self.id) {
-            return (421, String::new());
+            return Some((421, String::new()));
         }
-        let Some(body) = Value::parse(&request.body) else { return (400, String::new()) };
+        let Some(body) = Value::parse(&request.body) else { return Some((400, String::new())) };
+        let up_at = self.state.lock().unwrap().up_at;
+        thread::sleep(up_at.saturating_duration_since(Instant::now()));
         let mut state = self.state.lock().unwrap();
         self.advance(&mut state);
         let fence = body.number("fence").unwrap_or(0);
         if fence < state.fence {
-            return state.reply(409, Some("fence"));
+            return Some(state.reply(409, Some("fence")));
         }
         state.fence = fence;
         match request.path.as_str() {
-            "/api/run-start" => self.start(&mut state, &body),
-            "/api/run-stop" => self.stop(&mut state, &body),
+            "/api/run-start" => Some(self.start(&mut state, &body)),
+            "/api/run-stop" => Some(self.stop(&mut state, &body)),
             "/api/hold" => {
                 drop(state);
                 self.hold(&body)
             }
-            _ => (400, String::new()),
+            _ => Some((400, String::new())),
         }
     }
 
@@ -256,8 +325,10 @@
         else {
             return state.reply(400, None);
         };
-        let duration = text.split(' ').next().and_then(|text| text.parse::<u64>().ok());
-        let Some(duration) = duration else { return state.reply(400, None) };
+        let mut words = text.split(' ').map(str::parse::<u64>);
+        let (Some(Ok(duration)), Some(Ok(cpu))) = (words.next(), words.next()) else {
+            return state.reply(400, None);
+        };
         if state.running.iter().any(|run| run.task == task && run.number == number) {
             return state.reply(200, None);
         }
@@ -273,11 +344,13 @@
         state.running.push(Run {
             task: task.to_owned(),
             number,
+            cpu,
             started: clock,
             ends,
             stops: None,
         });
-        self.note(task, "start");
+        let taken = state.running.iter().map(|run| run.cpu).sum::<u64>();
+        self.note(task, "start", state.kind, taken);
         state.reply(200, None)
     }
 
@@ -294,19 +367,24 @@
         state.reply(200, None)
     }
 
-    fn hold(&self, body: &Value) -> (u16, String) {
+    fn hold(&self, body: &Value) -> Option<(u16, String)> {
         let seen = body.number("seenUpto").unwrap_or(0);
         let wait = body.number("waitMs").unwrap_or(0).min(2000);
         let deadline = Instant::now() + Duration::from_millis(wait);
         let mut state = self.state.lock().unwrap();
+        let born = state.born;
+        state.held_at = Some(Instant::now());
         if let Some(until) = body.number("untilMs") {
             state.lease = state.lease.max(until.min(state.clock() + LEASE_MAX_MS));
         }
         state.ended.retain(|(number, ..)| *number > seen);
         loop {
+            if state.born != born {
+                return None;
+            }
             let now = Instant::now();
             if !state.ended.is_empty() || now >= deadline {
-                return (200, state.report().to_string());
+                return Some((200, state.report().to_string()));
             }
             state = self.changed.wait_timeout(state, deadline - now).unwrap().0;
         }
