--- a/review/standins-3/cases.rs
+++ b/review/standins-3/cases.rs
@@ -3,6 +3,7 @@
 mod pipelined;
 mod renamed;
 mod swallowed;
+mod two_submissions;
 
 use std::path::Path;
 
@@ -16,6 +17,7 @@
         "pipelined" => pipelined::run(program, record, has_trouble),
         "renamed" => renamed::run(program, record, has_trouble),
         "swallowed" => swallowed::run(program, record, has_trouble),
+        "two-submissions" => two_submissions::run(program, record, has_trouble),
         _ => Err(format!("there is no case {case}")),
     }
 }
