Show that a start for a worker's former process makes a task run twice

A worker's process ends and is replaced after 1.4 s while its listening socket stays. 20 ms after all its connections have closed, its owner sends a start there, gives it up after the lease and runs the task elsewhere; the new process carries the start out as well (TWICE).

It takes the place of the worker that comes back as another kind (same cause, ROUTE and LIMIT).

--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -8,4 +8,4 @@
     echo "build with the command of the deploy file and with review/build-3.sh first"
     exit 2
 fi
-exec "$standins" renamed "$program" review/13/record.txt
+exec "$standins" former-life "$program" review/13/record.txt
--- a/review/standins-3/cases.rs
+++ b/review/standins-3/cases.rs
@@ -1,6 +1,6 @@
 //! The cases.
 
-mod fast_restart;
+mod former_life;
 mod pipelined;
 mod renamed;
 mod swallowed;
@@ -15,7 +15,7 @@
 
 pub fn run(case: &str, program: &Path, record: &Record, has_trouble: bool) -> Verdict {
     match case {
-        "fast-restart" => fast_restart::run(program, record, has_trouble),
+        "former-life" => former_life::run(program, record, has_trouble),
         "pipelined" => pipelined::run(program, record, has_trouble),
         "renamed" => renamed::run(program, record, has_trouble),
         "swallowed" => swallowed::run(program, record, has_trouble),
--- a/review/standins-3/cases/pipelined.rs
+++ b/review/standins-3/cases/pipelined.rs
@@ -12,7 +12,7 @@
 use crate::fleet::{Fleet, job, job_that_lasts, request};
 use crate::proxy::Proxy;
 use crate::record::Record;
-use crate::worker::{Event, KIND_A, KIND_B};
+use crate::worker::{KIND_A, KIND_B, overlaps};
 
 /// `resendMs` of the small sites.
 const RESEND: Duration = Duration::from_millis(1300);
@@ -75,8 +75,7 @@
     }
     thread::sleep(Duration::from_millis(300));
     let events = fleet.ledger.lock().unwrap().clone();
-    let overlaps = overlaps(&events);
-    Ok(overlaps.first().map(|(task, first, second, together)| {
+    Ok(overlaps(&events).first().map(|(task, first, second, together)| {
         format!(
             "TWICE: {task} ran on {first} and on {second} at the same time, for {} ms.",
             together.as_millis()
@@ -98,25 +97,3 @@
     }
     Ok(text)
 }
-
-/// The pairs of runs of one task that were at work at the same time, with the workers and how long.
-fn overlaps(events: &[Event]) -> Vec<(String, String, String, Duration)> {
-    let mut runs = Vec::<(&Event, Instant)>::new();
-    for (index, start) in events.iter().enumerate().filter(|(_, event)| event.what == "start") {
-        let end = events[index..].iter().find(|event| {
-            event.what != "start" && event.task == start.task && event.worker == start.worker
-        });
-        runs.push((start, end.map_or_else(Instant::now, |event| event.at)));
-    }
-    let mut found = Vec::new();
-    for (index, (first, first_end)) in runs.iter().enumerate() {
-        for (second, second_end) in &runs[index + 1..] {
-            let together = (*first_end.min(second_end)).saturating_duration_since(second.at);
-            if first.task == second.task && together > Duration::ZERO {
-                let workers = (first.worker.clone(), second.worker.clone());
-                found.push((first.task.clone(), workers.0, workers.1, together));
-            }
-        }
-    }
-    found
-}
--- a/review/standins-3/fleet.rs
+++ b/review/standins-3/fleet.rs
@@ -387,14 +387,6 @@
     job_that_lasts(longest, steps, cpu)
 }
 
-/// A job of some tasks of one step that need a label.
-pub fn job_with_label(count: u64, ms: u64, cpu: u64, label: &str) -> String {
-    let step = format!(
-        r#"{{"count":{count},"cpu":{cpu},"memMb":64,"estMs":{ms},"requiredLabel":"{label}"}}"#
-    );
-    format!(r#"{{"spec":"{ms} {cpu}","bestEffort":true,"steps":[{step}]}}"#)
-}
-
 /// As [`job`], with tasks that last longer or shorter than the client estimates.
 pub fn job_that_lasts(longest: u64, steps: &[(u64, u64)], cpu: u64) -> String {
     let steps = steps.iter().enumerate().map(|(index, (count, ms))| {
--- a/review/standins-3/http.rs
+++ b/review/standins-3/http.rs
@@ -2,9 +2,10 @@
 
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::os::fd::AsRawFd;
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// A request that has arrived whole.
 #[derive(Debug)]
@@ -30,30 +31,86 @@
 /// Answers a request; `None` closes the connection without an answer.
 pub type Handler = Arc<dyn Fn(Request) -> Option<(u16, String)> + Send + Sync>;
 
-/// The open connections of a server.
-pub type Connections = Arc<Mutex<Vec<TcpStream>>>;
+/// How long after its start a process takes connections one after the other, and the time that each takes.
+const START_TIME: Duration = Duration::from_millis(100);
+const ACCEPT_PAUSE: Duration = Duration::from_millis(2);
+
+/// The process behind a listening socket, which may end and start again while the socket stays, as where a service
+/// manager keeps it.
+#[derive(Clone, Debug, Default)]
+pub struct Process {
+    connections: Arc<Mutex<Vec<TcpStream>>>,
+    /// When the present process begins to accept connections.
+    up_at: Arc<Mutex<Option<Instant>>>,
+}
+
+impl Process {
+    /// Closes the connections that are open now, and accepts no others for a while. Those wait in the socket's queue.
+    pub fn restart(&self, after: Duration) {
+        *self.up_at.lock().unwrap() = Some(Instant::now() + after);
+        for stream in self.connections.lock().unwrap().drain(..) {
+            drop(stream.shutdown(Shutdown::Both));
+        }
+    }
+
+    /// Takes the connections that waited for a new process one after the other, in their order, as one thread would.
+    fn pace(&self) {
+        let up_at = *self.up_at.lock().unwrap();
+        if up_at.is_some_and(|at| at.elapsed() < START_TIME) {
+            thread::sleep(ACCEPT_PAUSE);
+        }
+    }
+
+    /// Waits until the process is up.
+    fn wait(&self) {
+        loop {
+            let up_at = *self.up_at.lock().unwrap();
+            let left =
+                up_at.map_or(Duration::ZERO, |at| at.saturating_duration_since(Instant::now()));
+            if left.is_zero() {
+                return;
+            }
+            thread::sleep(left);
+        }
+    }
+}
 
 /// Serves on a free loopback port.
-pub fn serve(handler: Handler) -> io::Result<(SocketAddr, Connections)> {
+pub fn serve(handler: Handler) -> io::Result<(SocketAddr, Process)> {
     let listener = TcpListener::bind("127.0.0.1:0")?;
     let address = listener.local_addr()?;
-    let connections = Connections::default();
-    let open = Arc::clone(&connections);
+    let process = Process::default();
+    let serving = process.clone();
     thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
+        // A connection waits in the socket's queue until the process is up: only then is it accepted.
+        while poll_readable(&listener) {
+            serving.wait();
+            let Ok((stream, _)) = listener.accept() else { continue };
             let handler = Arc::clone(&handler);
-            open.lock().unwrap().extend(stream.try_clone());
+            serving.connections.lock().unwrap().extend(stream.try_clone());
             thread::spawn(move || drop(serve_connection(stream, &handler)));
+            serving.pace();
         }
     });
-    Ok((address, connections))
+    Ok((address, process))
 }
 
-/// Closes the connections that are open now, as the end of a process does.
-pub fn close_all(connections: &Connections) {
-    for stream in connections.lock().unwrap().drain(..) {
-        drop(stream.shutdown(Shutdown::Both));
+/// Waits until a connection waits to be accepted. Always true.
+fn poll_readable(listener: &TcpListener) -> bool {
+    #[repr(C)]
+    struct PollFd {
+        descriptor: i32,
+        events: i16,
+        returned: i16,
+    }
+    unsafe extern "C" {
+        fn poll(descriptors: *mut PollFd, count: u64, timeout_ms: i32) -> i32;
     }
+    const POLLIN: i16 = 1;
+    let mut descriptor = PollFd { descriptor: listener.as_raw_fd(), events: POLLIN, returned: 0 };
+    // SAFETY: one descriptor, which is open as long as the listener is borrowed.
+    unsafe { poll(&raw mut descriptor, 1, -1) };
+    true
 }
 
 fn serve_connection(stream: TcpStream, handler: &Handler) -> io::Result<()> {
--- a/review/standins-3/worker.rs
+++ b/review/standins-3/worker.rs
@@ -7,7 +7,7 @@
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use crate::http::{self, Connections, Request};
+use crate::http::{self, Process, Request};
 use crate::json::{Value, object};
 use crate::record::Record;
 use crate::store::Store;
@@ -39,10 +39,6 @@
     pub task: String,
     /// `start`, or how the run ended.
     pub what: &'static str,
-    /// The kind of the worker at that time.
-    pub kind: Kind,
-    /// After a start: the cores that all runs on the worker take, in thousandths.
-    pub taken: u64,
 }
 
 /// What has run on all workers.
@@ -52,7 +48,7 @@
 pub struct Worker {
     pub id: String,
     shared: Arc<Shared>,
-    connections: Connections,
+    process: Process,
 }
 
 #[derive(Debug)]
@@ -91,7 +87,6 @@
 struct Run {
     task: String,
     number: u64,
-    cpu: u64,
     started: u64,
     ends: u64,
     stops: Option<u64>,
@@ -174,8 +169,7 @@
             record: record.clone(),
         });
         let serving = Arc::clone(&shared);
-        let (address, connections) =
-            http::serve(Arc::new(move |request| serving.answer(&request)))?;
+        let (address, process) = http::serve(Arc::new(move |request| serving.answer(&request)))?;
         *shared.address.lock().unwrap() = Some(address);
         let running = Arc::clone(&shared);
         thread::spawn(move || {
@@ -191,19 +185,19 @@
                 thread::sleep(HEARTBEAT);
             }
         });
-        Ok(Self { id: id.to_owned(), shared, connections })
+        Ok(Self { id: id.to_owned(), shared, process })
     }
 
-    /// Ends the worker's process and starts it again under its id, as another kind. Its connections close at once; those
+    /// Ends the worker's process and starts it again under its id, as the same kind or another. Its connections close at once; those
     /// that are opened meanwhile wait until the new process is up, which then writes its entry.
     pub fn restart(&self, kind: Kind, after: Duration) {
         let mut state = self.shared.state.lock().unwrap();
         for run in std::mem::take(&mut state.running) {
-            self.shared.note(&run.task, "gone", state.kind, 0);
+            self.shared.note(&run.task, "gone");
         }
         *state = State::new(kind, Instant::now() + after);
         drop(state);
-        http::close_all(&self.connections);
+        self.process.restart(after);
         self.shared.changed.notify_all();
         self.shared.record.line(&format!("worker {} starts again as kind {}", self.id, kind.label));
         let shared = Arc::clone(&self.shared);
@@ -256,10 +250,10 @@
         self.store.put(&format!("servers/{}", self.id), &entry);
     }
 
-    fn note(&self, task: &str, what: &'static str, kind: Kind, taken: u64) {
+    fn note(&self, task: &str, what: &'static str) {
         self.record.line(&format!("worker {} {what} {task}", self.id));
         let (worker, task) = (self.id.clone(), task.to_owned());
-        let event = Event { at: Instant::now(), worker, task, what, kind, taken };
+        let event = Event { at: Instant::now(), worker, task, what };
         self.ledger.lock().unwrap().push(event);
     }
 
@@ -278,7 +272,7 @@
                 state.running.push(run);
                 continue;
             };
-            self.note(&run.task, how, state.kind, 0);
+            self.note(&run.task, how);
             state.ended.push((state.next_end, run.task.clone(), run.number, how));
             state.next_end += 1;
             state.closed.push((run.task, run.number));
@@ -298,9 +292,11 @@
             return Some((421, String::new()));
         }
         let Some(body) = Value::parse(&request.body) else { return Some((400, String::new())) };
-        let up_at = self.state.lock().unwrap().up_at;
-        thread::sleep(up_at.saturating_duration_since(Instant::now()));
         let mut state = self.state.lock().unwrap();
+        if state.up_at > Instant::now() {
+            // The process that has read the call has ended.
+            return None;
+        }
         self.advance(&mut state);
         let fence = body.number("fence").unwrap_or(0);
         if fence < state.fence {
@@ -326,7 +322,7 @@
             return state.reply(400, None);
         };
         let mut words = text.split(' ').map(str::parse::<u64>);
-        let (Some(Ok(duration)), Some(Ok(cpu))) = (words.next(), words.next()) else {
+        let Some(Ok(duration)) = words.next() else {
             return state.reply(400, None);
         };
         if state.running.iter().any(|run| run.task == task && run.number == number) {
@@ -344,13 +340,11 @@
         state.running.push(Run {
             task: task.to_owned(),
             number,
-            cpu,
             started: clock,
             ends,
             stops: None,
         });
-        let taken = state.running.iter().map(|run| run.cpu).sum::<u64>();
-        self.note(task, "start", state.kind, taken);
+        self.note(task, "start");
         state.reply(200, None)
     }
 
@@ -390,3 +384,25 @@
         }
     }
 }
+
+/// The pairs of runs of one task that were at work at the same time, with the workers and how long.
+pub fn overlaps(events: &[Event]) -> Vec<(String, String, String, Duration)> {
+    let mut runs = Vec::<(&Event, Instant)>::new();
+    for (index, start) in events.iter().enumerate().filter(|(_, event)| event.what == "start") {
+        let end = events[index..].iter().find(|event| {
+            event.what != "start" && event.task == start.task && event.worker == start.worker
+        });
+        runs.push((start, end.map_or_else(Instant::now, |event| event.at)));
+    }
+    let mut found = Vec::new();
+    for (index, (first, first_end)) in runs.iter().enumerate() {
+        for (second, second_end) in &runs[index + 1..] {
+            let together = (*first_end.min(second_end)).saturating_duration_since(second.at);
+            if first.task == second.task && together > Duration::ZERO {
+                let workers = (first.worker.clone(), second.worker.clone());
+                found.push((first.task.clone(), workers.0, workers.1, together));
+            }
+        }
+    }
+    found
+}
