--- a/review/standins-3/fleet.rs
+++ b/review/standins-3/fleet.rs
@@ -1,7 +1,7 @@
 //! A small deployment: VMs as the deploy file starts them, workers, a store, and clients.
 
 use std::fs::{self, File};
-use std::io;
+use std::io::{self, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -54,6 +54,22 @@
 static CHILDREN: Mutex<Vec<Arc<Mutex<Child>>>> = Mutex::new(Vec::new());
 static FOLDERS: Mutex<Vec<PathBuf>> = Mutex::new(Vec::new());
 
+/// The shells that end a VM if this program is killed, by their standard inputs.
+static GUARDS: Mutex<Vec<Child>> = Mutex::new(Vec::new());
+
+/// Starts a shell that ends a process, by its id, if this program ends without a word.
+fn guard(id: u32) -> io::Result<()> {
+    let script = "read word && exit 0; kill -9 \"$0\" 2>/dev/null";
+    let guard = Command::new("sh")
+        .args(["-c", script, &id.to_string()])
+        .stdin(Stdio::piped())
+        .stdout(Stdio::null())
+        .stderr(Stdio::null())
+        .spawn()?;
+    GUARDS.lock().unwrap().push(guard);
+    Ok(())
+}
+
 /// Ends all processes that were started, and removes their folders.
 pub fn end_all() {
     for child in CHILDREN.lock().unwrap().drain(..) {
@@ -61,6 +77,12 @@
         drop(child.kill());
         drop(child.wait());
     }
+    for mut guard in GUARDS.lock().unwrap().drain(..) {
+        if let Some(mut input) = guard.stdin.take() {
+            drop(input.write_all(b"done\n"));
+        }
+        drop(guard.wait());
+    }
     for folder in FOLDERS.lock().unwrap().drain(..) {
         drop(fs::remove_dir_all(folder));
     }
@@ -232,6 +254,7 @@
             .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()?;
+        guard(child.id())?;
         let name = self.name(index);
         self.record.line(&format!("{name} is started"));
         let child = Arc::new(Mutex::new(child));
