Let the scripts find free ports, and leave no folder when they are killed

The VMs' ports were fixed, though the request asks for free ones: with 8161, 8166 and 8167 taken on all addresses a script ended with 2. They are now chosen anew each time. The port for metrics, 9100, is fixed by the program.

--- a/review/standins-3/fleet.rs
+++ b/review/standins-3/fleet.rs
@@ -15,13 +15,21 @@
 use crate::store::Store;
 use crate::worker::{Event, Kind, Ledger, Worker};
 
-const FRONT: u16 = 8161;
-const READY: u16 = 8167;
-const CONTROL: u16 = 8166;
-
 /// The port for metrics in the deploy file.
 const METRICS: u16 = 9100;
 
+/// The ports that a VM's are chosen from: below those that the system gives to outgoing connections.
+const PORTS: std::ops::Range<u16> = 12_000..32_000;
+
+/// Addresses and ports that nothing else uses: the middle bytes of the VMs' loopback addresses, and the ports of all VMs.
+#[derive(Clone, Copy, Debug)]
+struct Net {
+    bytes: (u8, u8),
+    front: u16,
+    ready: u16,
+    control: u16,
+}
+
 /// The host and the prefix of the only route.
 const HOST: &str = "desk.example";
 const PREFIX: &str = "/holds/";
@@ -40,7 +48,7 @@
     pub record: Record,
     directory: PathBuf,
     program: PathBuf,
-    net: (u8, u8),
+    net: Net,
     zones: Vec<String>,
 }
 
@@ -57,11 +65,12 @@
 /// The shells that end a VM if this program is killed, by their standard inputs.
 static GUARDS: Mutex<Vec<Child>> = Mutex::new(Vec::new());
 
-/// Starts a shell that ends a process, by its id, if this program ends without a word.
-fn guard(id: u32) -> io::Result<()> {
-    let script = "read word && exit 0; kill -9 \"$0\" 2>/dev/null";
+/// Starts a shell that ends a process, by its id, and removes the folder, if this program ends without a word.
+fn guard(id: u32, folder: &Path) -> io::Result<()> {
+    let script = "read word && exit 0; kill -9 \"$0\" 2>/dev/null; rm -rf \"$1\"";
     let guard = Command::new("sh")
         .args(["-c", script, &id.to_string()])
+        .arg(folder)
         .stdin(Stdio::piped())
         .stdout(Stdio::null())
         .stderr(Stdio::null())
@@ -176,7 +185,7 @@
     }
 
     fn ip(&self, index: usize) -> Ipv4Addr {
-        Ipv4Addr::new(127, self.net.0, self.net.1, index as u8 + 1)
+        Ipv4Addr::new(127, self.net.bytes.0, self.net.bytes.1, index as u8 + 1)
     }
 
     /// The settings file of a VM, as DEPLOY.md shows it.
@@ -184,7 +193,7 @@
         let ip = self.ip(index);
         let at = |port: u16| Value::from(format!("{ip}:{port}").as_str());
         let seeds = (0..self.zones.len().min(3))
-            .map(|seed| Value::from(format!("{}:{CONTROL}", self.ip(seed)).as_str()));
+            .map(|seed| Value::from(format!("{}:{}", self.ip(seed), self.net.control).as_str()));
         let mut zones = self.zones.clone();
         zones.dedup();
         let regions = zones.iter().map(|zone| (zone.clone(), Value::from("south"))).collect();
@@ -199,7 +208,11 @@
             ("zones", Value::Object(regions)),
             (
                 "listen",
-                object([("front", at(FRONT)), ("ready", at(READY)), ("control", at(CONTROL))]),
+                object([
+                    ("front", at(self.net.front)),
+                    ("ready", at(self.net.ready)),
+                    ("control", at(self.net.control)),
+                ]),
             ),
             ("portRange", vec![7720.into(), 7735.into()].into()),
             ("seeds", seeds.collect::<Vec<_>>().into()),
@@ -254,7 +267,7 @@
             .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()?;
-        guard(child.id())?;
+        guard(child.id(), &self.directory)?;
         let name = self.name(index);
         self.record.line(&format!("{name} is started"));
         let child = Arc::new(Mutex::new(child));
@@ -274,7 +287,7 @@
             thread::sleep(Duration::from_millis(400));
             let is_done = (0..self.vms.len()).all(|vm| {
                 number += 1;
-                let ready = SocketAddr::from((self.vms[vm].ip, READY));
+                let ready = SocketAddr::from((self.vms[vm].ip, self.net.ready));
                 let ready =
                     http::send(ready, "GET", "/api/readyz", &[], "", Duration::from_secs(1));
                 let is_ready = ready.is_ok_and(|answer| answer.status == 200);
@@ -289,7 +302,7 @@
 
     /// The address for clients of a VM.
     pub fn front(&self, vm: usize) -> SocketAddr {
-        SocketAddr::from((self.vms[vm].ip, FRONT))
+        SocketAddr::from((self.vms[vm].ip, self.net.front))
     }
 
     /// Submits a job and waits for its answer until the deadline.
@@ -436,16 +449,21 @@
     outcome.as_ref().is_ok_and(|answer| answer.status == 200 && answer.body.contains("\"done\""))
 }
 
-/// The middle bytes of loopback addresses whose ports are free.
-fn free_net(seed: u32, vms: usize) -> io::Result<(u8, u8)> {
-    for try_number in 0..200_u32 {
-        let mixed = seed.wrapping_add(try_number).wrapping_mul(2_654_435_761);
-        let net = ((mixed >> 8) as u8 % 250 + 1, (mixed >> 16) as u8);
+/// Finds free loopback addresses and ports for the VMs.
+fn free_net(seed: u32, vms: usize) -> io::Result<Net> {
+    let mut mixed = seed ^ std::process::id();
+    let mut next = || {
+        mixed = mixed.wrapping_mul(1_664_525).wrapping_add(1_013_904_223);
+        mixed >> 8
+    };
+    for _ in 0..500 {
+        let bytes = (next() as u8 % 250 + 1, next() as u8);
+        let base = PORTS.start + (next() % u32::from(PORTS.end - PORTS.start - 3)) as u16;
+        let net = Net { bytes, front: base, ready: base + 1, control: base + 2 };
         let is_free = (0..vms).all(|index| {
-            let ip = Ipv4Addr::new(127, net.0, net.1, index as u8 + 1);
-            [FRONT, READY, CONTROL, METRICS]
-                .iter()
-                .all(|port| TcpListener::bind((ip, *port)).is_ok())
+            let ip = Ipv4Addr::new(127, bytes.0, bytes.1, index as u8 + 1);
+            let ports = [net.front, net.ready, net.control, METRICS];
+            ports.iter().all(|port| TcpListener::bind((ip, *port)).is_ok())
         });
         if is_free {
             return Ok(net);
