Tell a connection that has ended from a late response

Two explanations stood: the scheduler goes on using a target whose poll was lost, as it takes the loss for a late response, or a start that was decided before finds its idle connection closed and opens another one. The log couldn't tell them apart, as both losses showed as "outcome=lost".

A call whose connection ended before the response is now "closed" in the error of the HTTP client, in the reply to the scheduler and in the log. No decision changes yet.

--- a/src/client/mod.rs
+++ b/src/client/mod.rs
@@ -63,7 +63,7 @@
     match result {
         Ok(response) => parse(entry, &response),
         Err(Error::Unsent(why)) => Reply::Unsent(format!("{entry}: {why}")),
-        Err(Error::Lost(why)) => Reply::Lost(format!("{entry}: {why}")),
+        Err(Error::Lost(why) | Error::Closed(why)) => Reply::Lost(format!("{entry}: {why}")),
     }
 }
 
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -77,8 +77,11 @@
 pub enum Error {
     /// Nothing was written to the connection.
     Unsent(String),
-    /// The request may have been written, in whole or in part, and no complete response came back.
+    /// The request may have been written, in whole or in part, and no complete response came back. The process at the
+    /// other end may still be there, and may execute the request later.
     Lost(String),
+    /// As [`Error::Lost`], and the connection has ended: the process at the other end may have ended too.
+    Closed(String),
 }
 
 impl fmt::Display for Error {
@@ -91,6 +94,10 @@
                 f,
                 "no complete response came back: {why}; the request may have been executed, so ask for its outcome"
             ),
+            Self::Closed(why) => write!(
+                f,
+                "the connection ended before the response: {why}; the request may have been executed, so ask for its outcome"
+            ),
         }
     }
 }
@@ -133,14 +140,26 @@
         future::poll_once(peek).await.is_some()
     }
 
-    /// Sends a request and reads the whole response; fails with [`Error::Lost`], also after the request's timeout. A
-    /// path or header that HTTP can't carry fails with [`Error::Unsent`].
+    /// Whether the connection has ended, and all bytes that came before its end have been read.
+    async fn has_ended(&self) -> bool {
+        let mut byte = [0];
+        let peek = self.stream.peek(&mut byte);
+        matches!(future::poll_once(peek).await, Some(Ok(0) | Err(_)))
+    }
+
+    /// Sends a request and reads the whole response; fails with [`Error::Closed`] if the connection ends first, and with
+    /// [`Error::Lost`] after the request's timeout or if the response can't be read. A path or header that HTTP can't
+    /// carry fails with [`Error::Unsent`].
     pub async fn send(&mut self, request: &Request<'_>) -> Result<Response, Error> {
         let message = self.message(request).map_err(|error| Error::Unsent(error.to_string()))?;
         let exchange = async {
             let exchange = contain::future(self.exchange(message)).await;
             let response = exchange.map_err(|panicked| Error::Lost(panicked.to_string()))?;
-            response.map_err(|error| Error::Lost(error.to_string()))
+            match response {
+                Ok(response) => Ok(response),
+                Err(error) if self.has_ended().await => Err(Error::Closed(error.to_string())),
+                Err(error) => Err(Error::Lost(error.to_string())),
+            }
         };
         let expired = async {
             Timer::after(request.timeout.duration()).await;
--- a/src/platform/worker.rs
+++ b/src/platform/worker.rs
@@ -357,6 +357,7 @@
     match error {
         Error::Unsent(_) => Reply::Unsent,
         Error::Lost(_) => Reply::Lost,
+        Error::Closed(_) => Reply::Closed,
     }
 }
 
--- a/src/schedule/call.rs
+++ b/src/schedule/call.rs
@@ -180,7 +180,7 @@
             }
             // The next short poll, under a higher token, shows whether the start arrived, unless a poll has shown
             // it already.
-            Reply::Lost | Reply::Polled(_) => {
+            Reply::Lost | Reply::Closed | Reply::Polled(_) => {
                 let Some(position) = target.find(name, number) else { return };
                 let Attempt { state, fence, sent_at, .. } = target.attempts[position];
                 if state == State::Sent && fence == target.fence {
@@ -325,7 +325,11 @@
                     self.lose(index, Loss::Fenced, actions);
                 }
             }
-            Reply::Denied { .. } | Reply::Unsent | Reply::Lost | Reply::Polled(_) => {
+            Reply::Denied { .. }
+            | Reply::Unsent
+            | Reply::Lost
+            | Reply::Closed
+            | Reply::Polled(_) => {
                 // The next short poll shows what runs, and attempts that should not run are stopped again.
                 target.raise_token(now);
                 target.foreign.retain(|known| (&known.0, known.1) != (name, number));
--- a/src/schedule/event.rs
+++ b/src/schedule/event.rs
@@ -129,8 +129,11 @@
     },
     /// The call was not sent.
     Unsent,
-    /// No response came. The call may have been executed, or may be executed later.
+    /// No response came in time. The call may have been executed, or may be executed later.
     Lost,
+    /// The connection ended before a response came. The call may have been executed, and the target's process may have
+    /// ended.
+    Closed,
 }
 
 impl fmt::Display for Reply {
@@ -140,6 +143,7 @@
             Self::Denied { denial, .. } => write!(f, "denied-{denial}"),
             Self::Unsent => f.write_str("unsent"),
             Self::Lost => f.write_str("lost"),
+            Self::Closed => f.write_str("closed"),
         }
     }
 }
--- a/src/store/consul.rs
+++ b/src/store/consul.rs
@@ -102,7 +102,7 @@
     fn from(error: http::Error) -> Self {
         match error {
             http::Error::Unsent(why) => Self::Unreachable(why),
-            http::Error::Lost(why) => Self::Lost(why),
+            http::Error::Lost(why) | http::Error::Closed(why) => Self::Lost(why),
         }
     }
 }
--- a/src/target/attempt.rs
+++ b/src/target/attempt.rs
@@ -47,7 +47,7 @@
         match guard.connection_mut().send(&request).await {
             Ok(response) => interpret(self, guard, attempt, &response),
             Err(Error::Unsent(why)) => Report::Unsent(why),
-            Err(Error::Lost(why)) => {
+            Err(Error::Lost(why) | Error::Closed(why)) => {
                 self.close_idle();
                 let address = self.address();
                 Report::Lost(format!(
--- a/src/vm/calls.rs
+++ b/src/vm/calls.rs
@@ -59,7 +59,9 @@
                 event!(debug, "target-hold", target = target_id, outcome = reply, ms = took.0);
             }
             match reply {
-                Reply::Lost | Reply::Unsent => node.metrics.count(Counter::LeasedLost),
+                Reply::Lost | Reply::Closed | Reply::Unsent => {
+                    node.metrics.count(Counter::LeasedLost);
+                }
                 Reply::Denied { .. } => node.metrics.count(Counter::LeasedDenied),
                 Reply::Executed { .. } | Reply::Polled(_) => {}
             }
