Call workers only over connections on which a process has responded

The connection opens, as the kernel accepts it into the socket's queue; no process reads it. The owner gives the start up, waits until its lease must have lapsed and runs the task elsewhere. The worker's next process then reads the start and carries it out: it has seen no token, and its clock starts anew, so neither the token nor the lease binds it.

Cause: all that bounds a call to a worker holds within one process of the worker, and nothing bound the call to a process. That the owner went on using the worker after its connections had closed only made it likely.

Now a call goes over a connection on which a process has responded: an idle one, or a new one after a response to a short poll that renews and acknowledges nothing. Such a connection ends with its process, and what was sent on it is never read by another. If the probe gets no response, the call is unsent, and its task goes elsewhere at once, not after the lease. It holds for renewals, acknowledgements and stops too: a renewal that the next process reads would extend leases beyond what the owner counts on, and an acknowledgement would make it forget its own completions.

Looked at without the same fault: links between VMs, whose handshake takes a response of the peer; `serve`, which never attempts a task again whose outcome is unknown; the store, whose writes are conditional.

--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -84,6 +84,15 @@
     Closed(String),
 }
 
+impl Error {
+    /// The reason without its consequence or a remedy.
+    pub(super) fn into_reason(self) -> String {
+        match self {
+            Self::Unsent(why) | Self::Lost(why) | Self::Closed(why) => why,
+        }
+    }
+}
+
 impl fmt::Display for Error {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
--- a/src/http/pool.rs
+++ b/src/http/pool.rs
@@ -60,7 +60,41 @@
     /// Sends a request and reads the whole response. A connection that fails is reset, so that the request does not
     /// arrive later. The idle connections are then closed, as the same fault has most likely hit them too.
     pub async fn send(&self, request: &Request<'_>) -> Result<Response, Error> {
-        let mut connection = self.take().await?;
+        let connection = match self.take_idle().await {
+            Some(connection) => connection,
+            None => self.open().await?,
+        };
+        self.exchange(connection, request).await
+    }
+
+    /// As [`Self::send`], over a connection on which a process has responded: an idle one, or a new one after a response to
+    /// `probe`. The request is then executed by that process or by none: a listening socket may outlive its process, and
+    /// the next one reads what was sent on connections that had not been accepted. Fails with [`Error::Unsent`] if the
+    /// probe gets no response.
+    pub async fn send_probed(
+        &self,
+        request: &Request<'_>,
+        probe: &Request<'_>,
+    ) -> Result<Response, Error> {
+        let connection = match self.take_idle().await {
+            Some(connection) => connection,
+            None => self.open_probed(probe).await?,
+        };
+        self.exchange(connection, request).await
+    }
+
+    /// Closes all idle connections.
+    pub fn close_idle(&self) {
+        for idle in self.idle().drain(..) {
+            idle.connection.close();
+        }
+    }
+
+    async fn exchange(
+        &self,
+        mut connection: Connection,
+        request: &Request<'_>,
+    ) -> Result<Response, Error> {
         match connection.send(request).await {
             Ok(response) => {
                 self.put_back(connection);
@@ -74,26 +108,38 @@
         }
     }
 
-    /// Closes all idle connections.
-    pub fn close_idle(&self) {
-        for idle in self.idle().drain(..) {
-            idle.connection.close();
-        }
-    }
-
-    async fn take(&self) -> Result<Connection, Error> {
+    /// Takes the idle connection that was used last, and closes those that can't be used again. A process has responded on
+    /// each idle connection.
+    async fn take_idle(&self) -> Option<Connection> {
         loop {
-            let Some(idle) = self.idle().pop() else { break };
+            let idle = self.idle().pop()?;
             let is_fresh = self.clock.now() - idle.idle_since < self.limits.idle_timeout;
             if is_fresh && !idle.connection.is_stale().await {
-                return Ok(idle.connection);
+                return Some(idle.connection);
             }
             idle.connection.close();
         }
+    }
+
+    async fn open(&self) -> Result<Connection, Error> {
         self.opened.fetch_add(1, Ordering::Relaxed);
         Connection::open(self.address, self.limits.connect_timeout).await
     }
 
+    /// Opens a connection and waits for a response to `probe` on it.
+    async fn open_probed(&self, probe: &Request<'_>) -> Result<Connection, Error> {
+        let mut connection = self.open().await?;
+        match connection.send(probe).await {
+            Ok(_) => Ok(connection),
+            Err(error) => {
+                connection.abort();
+                self.close_idle();
+                let why = error.into_reason();
+                Err(Error::Unsent(format!("the probe of a new connection got no response: {why}")))
+            }
+        }
+    }
+
     fn put_back(&self, connection: Connection) {
         let mut idle = self.idle();
         if idle.len() < self.limits.idle_max {
--- a/src/platform/worker.rs
+++ b/src/platform/worker.rs
@@ -14,7 +14,9 @@
 use crate::contain;
 use crate::event;
 use crate::http::{Error, Limits, Pool, Request, Response};
-use crate::schedule::{Action, Completion, Denial, Ending, Listing, Reply, Running, Snapshot};
+use crate::schedule::{
+    Action, Completion, Denial, Ending, Fence, Listing, Reply, Running, Snapshot,
+};
 use crate::store::Entry;
 use crate::vm::{self, CallFuture, Site};
 
@@ -25,6 +27,9 @@
 /// The timeout of a poll, its wait not included. Two polls in a row may be lost before the leases lapse.
 const POLL_TIMEOUT: Millis = Millis(120);
 
+/// The timeout of the probe of a new connection to a worker.
+const PROBE_TIMEOUT: Millis = Millis(120);
+
 /// The timeout for opening a connection to a worker.
 const CONNECT_TIMEOUT: Millis = Millis(250);
 
@@ -34,6 +39,9 @@
 /// The age up to which an idle connection is reused.
 const IDLE_AGE_MAX: Millis = Millis::from_secs(20);
 
+/// The path of polls.
+const POLL_PATH: &str = "/api/hold";
+
 /// The prefix of the keys of workers' entries; the worker's id follows.
 pub const PREFIX: &str = "servers/";
 
@@ -155,6 +163,10 @@
 }
 
 /// A client of one worker.
+///
+/// A worker that starts again has seen no token, and its clock starts anew, so neither the token nor the lease of a call to
+/// its former process binds it. Each call therefore goes over a connection on which a process has responded, and ends with
+/// that process.
 #[derive(Debug)]
 pub struct Client {
     id: Arc<str>,
@@ -177,13 +189,22 @@
         &self,
         path: &str,
         body: &impl Serialize,
+        fence: Fence,
         timeout: Millis,
     ) -> Result<Response, Error> {
-        let body = serde_json::to_vec(body).map_err(|error| Error::Unsent(error.to_string()))?;
+        let body = encode(body)?;
+        let probe_body = encode(&Poll::probe(fence))?;
         let headers = [("Content-Type", "application/json"), ("Expect-Instance", &*self.id)];
         let request =
             Request { method: Method::Post, path, headers: &headers, body: &body, timeout };
-        self.connections.send(&request).await
+        let probe = Request {
+            method: Method::Post,
+            path: POLL_PATH,
+            headers: &headers,
+            body: &probe_body,
+            timeout: PROBE_TIMEOUT,
+        };
+        self.connections.send_probed(&request, &probe).await
     }
 
     /// Makes the call that an action asks for; [`Reply::Unsent`] if it asks for none.
@@ -197,17 +218,17 @@
                     lease_until,
                     fence: fence.number(),
                 };
-                call_reply(self.post("/api/run-start", &body, CALL_TIMEOUT).await)
+                call_reply(self.post("/api/run-start", &body, fence, CALL_TIMEOUT).await)
             }
             Action::Stop { name, attempt, fence, .. } => {
                 let body = Stop { task: &name.to_string(), attempt, fence: fence.number() };
-                call_reply(self.post("/api/run-stop", &body, CALL_TIMEOUT).await)
+                call_reply(self.post("/api/run-stop", &body, fence, CALL_TIMEOUT).await)
             }
             Action::Poll { fence, lease_until, acknowledged, wait, .. } => {
                 let nonzero_wait = Some(wait).filter(|wait| *wait > Millis::ZERO);
                 let body =
                     Poll { fence: fence.number(), acknowledged, lease_until, wait: nonzero_wait };
-                poll_reply(self.post("/api/hold", &body, wait + POLL_TIMEOUT).await)
+                poll_reply(self.post(POLL_PATH, &body, fence, wait + POLL_TIMEOUT).await)
             }
             Action::Unhealthy { .. }
             | Action::End { .. }
@@ -264,6 +285,18 @@
     wait: Option<Millis>,
 }
 
+impl Poll {
+    /// A poll that only asks whether the worker responds: it renews no lease, acknowledges nothing and doesn't wait.
+    const fn probe(fence: Fence) -> Self {
+        Self { fence: fence.number(), acknowledged: 0, lease_until: None, wait: None }
+    }
+}
+
+/// Encodes the body of a call. The error says that nothing was sent.
+fn encode(body: &impl Serialize) -> Result<Vec<u8>, Error> {
+    serde_json::to_vec(body).map_err(|error| Error::Unsent(error.to_string()))
+}
+
 /// The response to a start or a stop, and to any call that is denied.
 #[derive(Debug, Default, Deserialize)]
 struct Receipt {
--- a/tests/pool.rs
+++ b/tests/pool.rs
@@ -1,12 +1,13 @@
-//! Client connections to a server that leaves requests without a response: what the client learns.
+//! Client connections to a server that leaves requests without a response: what the client learns, and what it sends.
 
 use std::io::{BufRead as _, BufReader, Write as _};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
 
 use gypsumkeel::clock::Millis;
-use gypsumkeel::http::{Connection, Error, Request};
+use gypsumkeel::http::{Connection, Error, Limits, Pool, Request};
 use socket2::SockRef;
 
 /// How long an expected response may take on a busy machine.
@@ -15,26 +16,37 @@
 /// How long to wait where no response is expected.
 const NO_RESPONSE_TIMEOUT: Millis = Millis(300);
 
-/// Starts a server that does what the path of a request says.
-fn serve() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap();
-    thread::spawn(move || {
-        for stream in listener.incoming().map_while(Result::ok) {
-            thread::spawn(move || respond(&stream));
-        }
-    });
-    address
+/// A server that does what the path of a request says, and keeps the paths of the requests that it has read.
+struct Server {
+    address: SocketAddr,
+    paths: Arc<Mutex<Vec<String>>>,
+}
+
+impl Server {
+    fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let paths = Arc::<Mutex<Vec<String>>>::default();
+        let known = Arc::clone(&paths);
+        thread::spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                let paths = Arc::clone(&known);
+                thread::spawn(move || respond(&stream, &paths));
+            }
+        });
+        Self { address, paths }
+    }
 }
 
 /// Responds to the requests on a connection until one of them asks for its end. They have no bodies.
-fn respond(stream: &TcpStream) {
+fn respond(stream: &TcpStream, paths: &Mutex<Vec<String>>) {
     let mut lines = BufReader::new(stream).lines().map_while(Result::ok);
     while let Some(first) = lines.next() {
         let path = first.split(' ').nth(1).unwrap().to_owned();
         lines.by_ref().find(String::is_empty);
+        paths.lock().unwrap().push(path.clone());
         let mut writer = stream;
-        match path.as_str() {
+        match path.split('?').next().unwrap() {
             "/answer" => {
                 writer.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok").unwrap();
             }
@@ -56,9 +68,9 @@
 /// other end may have ended.
 #[test]
 fn an_ended_connection_is_told_from_a_late_response() {
-    let server = serve();
+    let server = Server::start();
     let outcome = async |path| {
-        let mut connection = Connection::open(server, TIMEOUT).await.unwrap();
+        let mut connection = Connection::open(server.address, TIMEOUT).await.unwrap();
         connection.send(&Request::get("/answer", TIMEOUT)).await.unwrap();
         match connection.send(&Request::get(path, NO_RESPONSE_TIMEOUT)).await {
             Ok(response) => response.status.to_string(),
@@ -76,3 +88,40 @@
         @r#"[("/answer", "200"), ("/silence", "lost"), ("/close", "closed"), ("/cut", "closed"), ("/reset", "closed")]"#
     );
 }
+
+fn pool(server: &Server) -> Pool {
+    let limits = Limits { idle_max: 8, idle_timeout: TIMEOUT, connect_timeout: TIMEOUT };
+    Pool::new(server.address, limits)
+}
+
+/// Guards against a call that waits in the listening socket of a process that has ended, and that the next process reads.
+#[test]
+fn a_probed_request_is_sent_only_where_a_process_has_responded() {
+    let server = Server::start();
+    let connections = pool(&server);
+    let request = Request::get("/answer?request", TIMEOUT);
+    let mut outcomes = Vec::new();
+    for probe in ["/silence", "/close", "/answer?probe", "/answer?unused"] {
+        let probe = Request::get(probe, NO_RESPONSE_TIMEOUT);
+        let result = smol::block_on(connections.send_probed(&request, &probe));
+        outcomes.push(result.map_or_else(|error| error.to_string(), |r| r.status.to_string()));
+    }
+    let paths = server.paths.lock().unwrap().clone();
+    insta::assert_debug_snapshot!((outcomes, paths), @r#"
+    (
+        [
+            "nothing was sent: the probe of a new connection got no response: no response within 300 ms; check the address and the network",
+            "nothing was sent: the probe of a new connection got no response: connection closed; check the address and the network",
+            "200",
+            "200",
+        ],
+        [
+            "/silence",
+            "/close",
+            "/answer?probe",
+            "/answer?request",
+            "/answer?request",
+        ],
+    )
+    "#);
+}
--- /dev/null
+++ b/tests/restarts.rs
@@ -0,0 +1,173 @@
+//! Workers whose processes end and start again under their ids, with real `gypsumkeel platform` processes.
+
+#[path = "platform/mod.rs"]
+mod platform;
+
+use std::io;
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use gypsumkeel::clock::Millis;
+use platform::worker::Worker;
+use platform::{Env, Reply, wait_until};
+use serde_json::{Value, json};
+
+/// How long a worker's next process takes until it accepts connections. The leases of the former one have lapsed by then.
+const DOWN: Duration = Duration::from_millis(1400);
+
+/// The pause between two connections that a process accepts.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(2);
+
+/// The listening socket of a worker, which outlives the worker's processes: connections that no process has accepted wait
+/// there for the next one.
+struct Socket {
+    address: SocketAddr,
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    /// Where the connections are forwarded to.
+    worker: SocketAddr,
+    /// Whether a process accepts connections.
+    is_up: AtomicBool,
+    accepted: AtomicUsize,
+    connections: Mutex<Vec<TcpStream>>,
+}
+
+impl Socket {
+    fn open(worker: SocketAddr) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        listener.set_nonblocking(true).unwrap();
+        let shared = Arc::new(Shared {
+            worker,
+            is_up: AtomicBool::new(true),
+            accepted: AtomicUsize::new(0),
+            connections: Mutex::default(),
+        });
+        let accepting = Arc::downgrade(&shared);
+        thread::spawn(move || {
+            while let Some(shared) = accepting.upgrade() {
+                shared.accept(&listener);
+                drop(shared);
+                thread::sleep(ACCEPT_PAUSE);
+            }
+        });
+        Self { address, shared }
+    }
+
+    /// Ends the process: its connections close, and no others are accepted.
+    fn end_process(&self) {
+        let connections = self.shared.connections.lock().unwrap();
+        self.shared.is_up.store(false, Ordering::Relaxed);
+        for stream in connections.iter() {
+            drop(stream.shutdown(Shutdown::Both));
+        }
+    }
+
+    /// Starts the next process, which accepts the connections that wait, one after the other.
+    fn start_process(&self) {
+        self.shared.is_up.store(true, Ordering::Relaxed);
+    }
+}
+
+impl Shared {
+    /// Accepts a connection, if one waits and the process is up, and forwards it to the worker.
+    fn accept(&self, listener: &TcpListener) {
+        let mut connections = self.connections.lock().unwrap();
+        if !self.is_up.load(Ordering::Relaxed) {
+            return;
+        }
+        let Ok((client, _)) = listener.accept() else { return };
+        let server = TcpStream::connect(self.worker).unwrap();
+        client.set_nonblocking(false).unwrap();
+        self.accepted.fetch_add(1, Ordering::Relaxed);
+        for (from, to) in [(&client, &server), (&server, &client)] {
+            to.set_nodelay(true).unwrap();
+            let (mut from, mut to) = (from.try_clone().unwrap(), to.try_clone().unwrap());
+            thread::spawn(move || {
+                drop(io::copy(&mut from, &mut to));
+                drop(to.shutdown(Shutdown::Write));
+            });
+        }
+        connections.extend([client, server]);
+    }
+}
+
+/// A worker behind a socket that outlives its processes.
+struct Kept<'a> {
+    worker: &'a Worker,
+    socket: Socket,
+}
+
+impl<'a> Kept<'a> {
+    /// Opens a socket before a worker, and waits until the worker's owner calls it there.
+    fn open(env: &Env, worker: &'a Worker) -> Self {
+        let kept = Self { worker, socket: Socket::open(worker.address) };
+        kept.list(env);
+        let accepted = || kept.socket.shared.accepted.load(Ordering::Relaxed);
+        wait_until("the worker is called through its socket", || accepted() > 0);
+        kept
+    }
+
+    /// Writes the worker's entry to the store.
+    fn list(&self, env: &Env) {
+        let mut entry = self.worker.entry("ready");
+        entry["addr"] = json!(self.socket.address);
+        env.store.put(&format!("servers/{}", self.worker.id), &entry);
+    }
+
+    fn end_process(&self) {
+        self.socket.end_process();
+        self.worker.crash();
+    }
+
+    fn start_process(&self, env: &Env) {
+        self.worker.crash();
+        self.socket.start_process();
+        self.list(env);
+    }
+}
+
+/// A job of one task, of `cpu` thousandths of a core and `ms` milliseconds, near the workers of domain a.
+fn job(cpu: u64, ms: u64) -> Value {
+    json!({ "spec": format!("{cpu} {ms}"), "bestEffort": true,
+        "steps": [{ "count": 1, "cpu": cpu, "memMb": 64, "estMs": ms, "affinity": "rack-a" }] })
+}
+
+/// Guards against a start that is sent after a worker's connections have closed, is given up, and is carried out by the
+/// worker's next process while the task runs elsewhere.
+#[test]
+fn a_start_for_a_former_process_is_not_carried_out_by_the_next() {
+    let env = Env::start(1, 2);
+    let kept = env.workers[..2].iter().map(|worker| Kept::open(&env, worker)).collect::<Vec<_>>();
+    let replies = thread::scope(|scope| {
+        let post = |id: u64, body: Value| {
+            let env = &env;
+            scope.spawn(move || env.post(0, id, &body, Millis(6000)))
+        };
+        // One worker is full for a second, so that the next jobs go to the other one.
+        let full = post(1, job(15_500, 1000));
+        wait_until("the first job runs", || kept.iter().any(|kept| kept.worker.running() == 1));
+        let other = kept.iter().find(|kept| kept.worker.running() == 0).unwrap();
+        // The VM gets the response to this start while a poll waits at the worker.
+        let small = post(2, job(1000, 600));
+        let mut responses = 0;
+        wait_until("the VM knows that both jobs run", || {
+            responses += env.metric(0, "leased.start_time.count");
+            responses == 2
+        });
+        other.end_process();
+        let ended = Instant::now();
+        let moved = post(3, job(15_000, 900));
+        thread::sleep(DOWN.saturating_sub(ended.elapsed()));
+        other.start_process(&env);
+        [full, small, moved].map(|job| job.join().unwrap())
+    });
+    let is_done = |reply: &Option<Reply>| reply.as_ref().is_some_and(|reply| reply.state == "done");
+    assert!(replies.iter().all(is_done), "{replies:?}");
+    env.check();
+}
