--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -303,52 +303,6 @@
     env.check();
 }
 
-#[test]
-fn a_crashed_or_unresponsive_worker_only_delays_jobs() {
-    let env = Env::start(1, 2);
-    let start = Instant::now();
-    let replies = std::thread::scope(|scope| {
-        scope.spawn(|| {
-            std::thread::sleep(Duration::from_millis(500));
-            env.workers[0].crash();
-            env.store
-                .put(&format!("servers/{}", env.workers[0].id), &env.workers[0].entry("ready"));
-            std::thread::sleep(Duration::from_secs(1));
-            env.workers[1].set_silent(true);
-            std::thread::sleep(Duration::from_millis(1500));
-            env.workers[1].set_silent(false);
-        });
-        env.load(&[0, 1], 4, || start.elapsed() > Duration::from_secs(5))
-    });
-    assert!(are_done(&replies), "{replies:?}");
-    env.check();
-}
-
-/// Guards against an owner that takes what a worker has started since its restart for gone with the former process, and
-/// starts it elsewhere too.
-#[test]
-fn tasks_that_a_worker_started_since_its_restart_run_on() {
-    let env = Env::start(1, 3);
-    let body = json!({ "spec": "500 400", "bestEffort": true,
-        "steps": [{ "count": 1, "cpu": 500, "memMb": 64, "estMs": 400 }] });
-    let replies = std::thread::scope(|scope| {
-        let (env, body) = (&env, &body);
-        let jobs = (0..200).map(|id| {
-            std::thread::sleep(Duration::from_millis(15));
-            if id % 40 == 39 {
-                let busiest = env.workers.iter().max_by_key(|worker| worker.running()).unwrap();
-                busiest.crash();
-                env.store.put(&format!("servers/{}", busiest.id), &busiest.entry("ready"));
-            }
-            scope.spawn(move || env.post(id as usize % 2, id, body, Millis(10_000)))
-        });
-        let jobs = jobs.collect::<Vec<_>>();
-        jobs.into_iter().map(|job| job.join().unwrap()).collect::<Vec<_>>()
-    });
-    assert!(are_done(&replies), "{replies:?}");
-    env.check();
-}
-
 /// The store lists a worker for seconds after another one has taken over its address. Two owners of such workers once
 /// announced each failed takeover to each other and then retried at once, without a pause.
 #[test]
--- a/tests/restarts.rs
+++ b/tests/restarts.rs
@@ -132,6 +132,12 @@
     }
 }
 
+/// Whether all jobs succeeded.
+fn are_done(replies: &[Option<Reply>]) -> bool {
+    let done = Reply { status: 200, state: "done".to_owned(), retry_after: false };
+    replies.iter().all(|reply| reply.as_ref() == Some(&done))
+}
+
 /// A job of one task, of `cpu` thousandths of a core and `ms` milliseconds, near the workers of domain a.
 fn job(cpu: u64, ms: u64) -> Value {
     json!({ "spec": format!("{cpu} {ms}"), "bestEffort": true,
@@ -167,7 +173,52 @@
         other.start_process(&env);
         [full, small, moved].map(|job| job.join().unwrap())
     });
-    let is_done = |reply: &Option<Reply>| reply.as_ref().is_some_and(|reply| reply.state == "done");
-    assert!(replies.iter().all(is_done), "{replies:?}");
+    assert!(are_done(&replies), "{replies:?}");
+    env.check();
+}
+
+#[test]
+fn a_crashed_or_unresponsive_worker_only_delays_jobs() {
+    let env = Env::start(1, 2);
+    let start = Instant::now();
+    let replies = thread::scope(|scope| {
+        scope.spawn(|| {
+            thread::sleep(Duration::from_millis(500));
+            env.workers[0].crash();
+            env.store
+                .put(&format!("servers/{}", env.workers[0].id), &env.workers[0].entry("ready"));
+            thread::sleep(Duration::from_secs(1));
+            env.workers[1].set_silent(true);
+            thread::sleep(Duration::from_millis(1500));
+            env.workers[1].set_silent(false);
+        });
+        env.load(&[0, 1], 4, || start.elapsed() > Duration::from_secs(5))
+    });
+    assert!(are_done(&replies), "{replies:?}");
+    env.check();
+}
+
+/// Guards against an owner that takes what a worker has started since its restart for gone with the former process, and
+/// starts it elsewhere too.
+#[test]
+fn tasks_that_a_worker_started_since_its_restart_run_on() {
+    let env = Env::start(1, 3);
+    let body = json!({ "spec": "500 400", "bestEffort": true,
+        "steps": [{ "count": 1, "cpu": 500, "memMb": 64, "estMs": 400 }] });
+    let replies = thread::scope(|scope| {
+        let (env, body) = (&env, &body);
+        let jobs = (0..200).map(|id| {
+            thread::sleep(Duration::from_millis(15));
+            if id % 40 == 39 {
+                let busiest = env.workers.iter().max_by_key(|worker| worker.running()).unwrap();
+                busiest.crash();
+                env.store.put(&format!("servers/{}", busiest.id), &busiest.entry("ready"));
+            }
+            scope.spawn(move || env.post(id as usize % 2, id, body, Millis(10_000)))
+        });
+        let jobs = jobs.collect::<Vec<_>>();
+        jobs.into_iter().map(|job| job.join().unwrap()).collect::<Vec<_>>()
+    });
+    assert!(are_done(&replies), "{replies:?}");
     env.check();
 }
