Make a lost probe of a new connection cost little

Now a second connection is probed beside one without a response after 15 ms; an unsent call takes a target out of use only if it has responded to nothing since, as a lost one does; and a lost call closes only the idle connections on which nothing came since it was sent.

an_unsent_start_takes_no_target_out_of_use_that_responds is new, the pool's test has a probe that is lost once.

--- a/src/http/pool.rs
+++ b/src/http/pool.rs
@@ -1,13 +1,20 @@
 //! A pool of keep-alive connections to one address, without a limit on those in use.
 
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Mutex, PoisonError};
 
+use smol::Timer;
+use smol::future::FutureExt as _;
+
 use crate::clock::{Clock, Millis};
 
 use super::{Connection, Error, Request, Response};
 
+/// How long the probe of a new connection may go without a response before another connection is probed beside it.
+const HEDGE_DELAY: Millis = Millis(15);
+
 /// Limits of a [`Pool`].
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
@@ -58,7 +65,8 @@
     }
 
     /// Sends a request and reads the whole response. A connection that fails is reset, so that the request does not
-    /// arrive later. The idle connections are then closed, as the same fault has most likely hit them too.
+    /// arrive later. The idle connections without a response since the request was sent are then closed, as the same
+    /// fault has most likely hit them too.
     pub async fn send(&self, request: &Request<'_>) -> Result<Response, Error> {
         let connection = match self.take_idle().await {
             Some(connection) => connection,
@@ -95,6 +103,7 @@
         mut connection: Connection,
         request: &Request<'_>,
     ) -> Result<Response, Error> {
+        let sent_at = self.clock.now();
         match connection.send(request).await {
             Ok(response) => {
                 self.put_back(connection);
@@ -102,12 +111,19 @@
             }
             Err(error) => {
                 connection.abort();
-                self.close_idle();
+                self.close_idle_since_before(sent_at);
                 Err(error)
             }
         }
     }
 
+    /// Closes the connections that have been idle since before `time`.
+    fn close_idle_since_before(&self, time: Millis) {
+        for idle in self.idle().extract_if(.., |idle| idle.idle_since <= time) {
+            idle.connection.close();
+        }
+    }
+
     /// Takes the idle connection that was used last, and closes those that can't be used again. A process has responded on
     /// each idle connection.
     async fn take_idle(&self) -> Option<Connection> {
@@ -126,14 +142,27 @@
         Connection::open(self.address, self.limits.connect_timeout).await
     }
 
-    /// Opens a connection and waits for a response to `probe` on it.
+    /// Opens a connection on which a process responds to `probe`. Another one is probed beside it if that takes long, as the
+    /// probe may be lost.
     async fn open_probed(&self, probe: &Request<'_>) -> Result<Connection, Error> {
+        let mut first = pin!(self.open_and_probe(probe));
+        let prompt = async { Some(first.as_mut().await) };
+        let late = async {
+            Timer::after(HEDGE_DELAY.duration()).await;
+            None
+        };
+        match prompt.or(late).await {
+            Some(result) => result,
+            None => first_success(first, self.open_and_probe(probe)).await,
+        }
+    }
+
+    async fn open_and_probe(&self, probe: &Request<'_>) -> Result<Connection, Error> {
         let mut connection = self.open().await?;
         match connection.send(probe).await {
             Ok(_) => Ok(connection),
             Err(error) => {
                 connection.abort();
-                self.close_idle();
                 let why = error.into_reason();
                 Err(Error::Unsent(format!("the probe of a new connection got no response: {why}")))
             }
@@ -151,3 +180,18 @@
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// Waits for the first of two futures that succeeds; fails if both fail.
+async fn first_success<T, E>(
+    first: impl Future<Output = Result<T, E>>,
+    second: impl Future<Output = Result<T, E>>,
+) -> Result<T, E> {
+    let (mut first, mut second) = (pin!(first), pin!(second));
+    let first_result = async { (first.as_mut().await, true) };
+    let second_result = async { (second.as_mut().await, false) };
+    match first_result.or(second_result).await {
+        (Ok(value), _) => Ok(value),
+        (Err(_), true) => second.await,
+        (Err(_), false) => first.await,
+    }
+}
--- a/src/schedule/call.rs
+++ b/src/schedule/call.rs
@@ -174,9 +174,12 @@
                 self.handle_denied_start(now, index, (name, number), fence, *denial, actions);
             }
             Reply::Unsent => {
-                target.health.mark_unhealthy(now);
-                target.unsynced = true;
-                self.drop_attempt(now, index, name, number);
+                let Some(position) = target.find(name, number) else { return };
+                if !target.has_responded_since(target.attempts[position].sent_at) {
+                    target.health.mark_unhealthy(now);
+                    target.unsynced = true;
+                }
+                self.lose_start(now, index, (name, number));
             }
             // The next short poll, under a higher token, shows whether the start arrived, unless a poll has shown
             // it already.
--- a/src/schedule/poll.rs
+++ b/src/schedule/poll.rs
@@ -183,7 +183,9 @@
                 self.lose(index, Loss::Replaced, actions);
             }
             // The poll or its response got lost, but the target has responded to another call since.
-            Reply::Lost | Reply::Closed if target.has_responded_since(poll.sent_at) => {
+            Reply::Lost | Reply::Closed | Reply::Unsent
+                if target.has_responded_since(poll.sent_at) =>
+            {
                 target.next_poll_at = now + RETRY_PAUSE;
             }
             _ => {
--- a/tests/pool.rs
+++ b/tests/pool.rs
@@ -16,7 +16,7 @@
 /// How long to wait where no response is expected.
 const NO_RESPONSE_TIMEOUT: Millis = Millis(300);
 
-/// A server that does what the path of a request says, and keeps the paths of the requests that it has read.
+/// A server that does what the path of a request says (`/second` is answered from the second time on), and keeps the paths of the requests that it has read.
 struct Server {
     address: SocketAddr,
     paths: Arc<Mutex<Vec<String>>>,
@@ -45,9 +45,11 @@
         let path = first.split(' ').nth(1).unwrap().to_owned();
         lines.by_ref().find(String::is_empty);
         paths.lock().unwrap().push(path.clone());
+        let times = paths.lock().unwrap().iter().filter(|known| **known == path).count();
         let mut writer = stream;
         match path.split('?').next().unwrap() {
-            "/answer" => {
+            "/second" if times < 2 => {}
+            "/answer" | "/second" => {
                 writer.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok").unwrap();
             }
             "/cut" => {
@@ -101,7 +103,7 @@
     let connections = pool(&server);
     let request = Request::get("/answer?request", TIMEOUT);
     let mut outcomes = Vec::new();
-    for probe in ["/silence", "/close", "/answer?probe", "/answer?unused"] {
+    for probe in ["/silence", "/close", "/second", "/answer?unused"] {
         let probe = Request::get(probe, NO_RESPONSE_TIMEOUT);
         let result = smol::block_on(connections.send_probed(&request, &probe));
         outcomes.push(result.map_or_else(|error| error.to_string(), |r| r.status.to_string()));
@@ -116,9 +118,11 @@
             "200",
         ],
         [
+            "/silence",
             "/silence",
             "/close",
-            "/answer?probe",
+            "/second",
+            "/second",
             "/answer?request",
             "/answer?request",
         ],
--- a/tests/restarts.rs
+++ b/tests/restarts.rs
@@ -10,6 +10,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use fastrand::Rng;
 use gypsumkeel::clock::Millis;
 use platform::worker::Worker;
 use platform::{Env, Reply, wait_until};
@@ -21,6 +22,13 @@
 /// The pause between two connections that a process accepts.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(2);
 
+/// How many restarts a seed has, one after the other.
+const RESTARTS: u32 = 12;
+
+/// How many jobs a seed has, and the pause between two.
+const JOBS: u64 = 400;
+const JOB_INTERVAL: Duration = Duration::from_millis(20);
+
 /// The listening socket of a worker, which outlives the worker's processes: connections that no process has accepted wait
 /// there for the next one.
 struct Socket {
@@ -97,20 +105,20 @@
     }
 }
 
-/// A worker behind a socket that outlives its processes.
-struct Kept<'a> {
+/// A worker whose listening socket stays open across its processes, as a service manager keeps it with socket activation.
+struct Unit<'a> {
     worker: &'a Worker,
     socket: Socket,
 }
 
-impl<'a> Kept<'a> {
+impl<'a> Unit<'a> {
     /// Opens a socket before a worker, and waits until the worker's owner calls it there.
     fn open(env: &Env, worker: &'a Worker) -> Self {
-        let kept = Self { worker, socket: Socket::open(worker.address) };
-        kept.list(env);
-        let accepted = || kept.socket.shared.accepted.load(Ordering::Relaxed);
+        let unit = Self { worker, socket: Socket::open(worker.address) };
+        unit.list(env);
+        let accepted = || unit.socket.shared.accepted.load(Ordering::Relaxed);
         wait_until("the worker is called through its socket", || accepted() > 0);
-        kept
+        unit
     }
 
     /// Writes the worker's entry to the store.
@@ -144,12 +152,52 @@
         "steps": [{ "count": 1, "cpu": cpu, "memMb": 64, "estMs": ms, "affinity": "rack-a" }] })
 }
 
+/// Guards against calls that reach another process of a worker than they were sent to, whenever it ends: a caller sees a task
+/// that runs twice at a time. `GYPSUMKEEL_SEEDS` sets the number of seeds.
+#[test]
+fn no_task_runs_twice_while_workers_restart_behind_their_sockets() {
+    let seeds = std::env::var("GYPSUMKEEL_SEEDS").map_or(Ok(1), |seeds| seeds.parse::<u64>());
+    for seed in 1..=seeds.expect("a number of seeds") {
+        eprintln!("seed {seed}");
+        check_restarts(seed);
+    }
+}
+
+/// Restarts workers under load. Half of them are down until about the time at which the owner starts their tasks elsewhere.
+fn check_restarts(seed: u64) {
+    let env = Env::start(1, 3);
+    let units = env.workers.iter().map(|worker| Unit::open(&env, worker)).collect::<Vec<_>>();
+    let mut random = Rng::with_seed(seed);
+    let body = job(1000, 500);
+    let replies = thread::scope(|scope| {
+        let (env, body) = (&env, &body);
+        scope.spawn(move || {
+            for _ in 0..RESTARTS {
+                let worker = &units[random.usize(..units.len())];
+                thread::sleep(Duration::from_millis(random.u64(..200)));
+                worker.end_process();
+                let down_ms = if random.bool() { 0..50 } else { 1000..1700 };
+                thread::sleep(Duration::from_millis(random.u64(down_ms)));
+                worker.start_process(env);
+            }
+        });
+        let jobs = (0..JOBS).map(|id| {
+            thread::sleep(JOB_INTERVAL);
+            scope.spawn(move || env.post(id as usize % 2, id, body, Millis(10_000)))
+        });
+        let jobs = jobs.collect::<Vec<_>>();
+        jobs.into_iter().map(|job| job.join().unwrap()).collect::<Vec<_>>()
+    });
+    assert!(replies.iter().flatten().any(|reply| reply.state == "done"), "{replies:?}");
+    env.check();
+}
+
 /// Guards against a start that is sent after a worker's connections have closed, is given up, and is carried out by the
 /// worker's next process while the task runs elsewhere.
 #[test]
 fn a_start_for_a_former_process_is_not_carried_out_by_the_next() {
     let env = Env::start(1, 2);
-    let kept = env.workers[..2].iter().map(|worker| Kept::open(&env, worker)).collect::<Vec<_>>();
+    let units = env.workers[..2].iter().map(|worker| Unit::open(&env, worker)).collect::<Vec<_>>();
     let replies = thread::scope(|scope| {
         let post = |id: u64, body: Value| {
             let env = &env;
@@ -157,8 +205,8 @@
         };
         // One worker is full for a second, so that the next jobs go to the other one.
         let full = post(1, job(15_500, 1000));
-        wait_until("the first job runs", || kept.iter().any(|kept| kept.worker.running() == 1));
-        let other = kept.iter().find(|kept| kept.worker.running() == 0).unwrap();
+        wait_until("the first job runs", || units.iter().any(|unit| unit.worker.running() == 1));
+        let other = units.iter().find(|unit| unit.worker.running() == 0).unwrap();
         // The VM gets the response to this start while a poll waits at the worker.
         let small = post(2, job(1000, 600));
         let mut responses = 0;
--- a/tests/schedule.rs
+++ b/tests/schedule.rs
@@ -203,6 +203,24 @@
     assert_eq!(model.targets[0].fence(), token, "the token was raised");
 }
 
+/// Guards against a target that is ejected as one start finds no connection in time, though it responds to other calls:
+/// callers would lose its capacity.
+#[test]
+fn an_unsent_start_takes_no_target_out_of_use_that_responds() {
+    let mut model = world(1);
+    model.submit(100, 0, 1, spec("j1", 1, 4, 60), 60, 5000);
+    model.run(500);
+    model.fault(900, 0, Fault { unsent: 100, ..Fault::default() });
+    model.fault(1020, 0, Fault::default());
+    model.submit(1000, 0, 2, spec("j2", 1, 4, 1000), 1000, 5000);
+    // The target responds to this start before the first one counts as not sent.
+    model.submit(1100, 0, 3, spec("j3", 1, 4, 100), 100, 5000);
+    model.submit(1130, 0, 4, spec("j4", 1, 4, 100), 100, 5000);
+    model.run(6000);
+    assert_eq!(model.outcome(2), Some(&Outcome::Done));
+    assert_eq!(model.ends[&(0, 4)].at, 1130 + 100 + 2);
+}
+
 /// A fifth of all calls gets no response, and a fifth of the starts arrives seconds late, at half of the targets'
 /// capacity.
 #[test]
--- a/tests/schedule/model.rs
+++ b/tests/schedule/model.rs
@@ -28,6 +28,9 @@
 /// How long an engine waits for the response to a call before it counts as lost, in milliseconds.
 const TIMEOUT: u64 = 300;
 
+/// How long a start waits for a response on a new connection before it counts as not sent, in milliseconds.
+const PROBE_TIMEOUT: u64 = 120;
+
 /// How long after its wait a start or a poll without a response counts as overdue, in milliseconds.
 const OVERDUE: u64 = 30;
 
@@ -46,6 +49,8 @@
     pub late: u64,
     /// The percentage of starts that are executed and whose response is lost.
     pub response_lost: u64,
+    /// The percentage of starts that are not sent, as a new connection gets no response.
+    pub unsent: u64,
     /// The percentage of stops that don't arrive and get no response.
     pub stops_lost: u64,
 }
@@ -468,6 +473,11 @@
             return;
         }
         let is_start = matches!(action, Action::Start { .. });
+        if is_start && draw < fault.unsent {
+            let reply = Reply::Unsent;
+            self.add(self.now + PROBE_TIMEOUT, Item::Respond { engine, call, reply });
+            return;
+        }
         if is_start && !late && draw < fault.late {
             self.time_out(engine, call);
             let at = self.now + 2000 + self.random.u64(..3000);
