--- a/tests/platform/mod.rs
+++ b/tests/platform/mod.rs
@@ -12,7 +12,7 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU16, Ordering};
 use std::sync::{Arc, LazyLock, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -53,6 +53,14 @@
     address
 }
 
+/// The middle bytes of loopback addresses that no other environment of the process uses.
+fn free_net() -> [u8; 2] {
+    static NEXT: LazyLock<AtomicU16> = LazyLock::new(|| AtomicU16::new(fastrand::u16(..)));
+    let [second, third] = NEXT.fetch_add(1, Ordering::Relaxed).to_be_bytes();
+    // 127.0.x.y belongs to other programs.
+    [second.clamp(1, 249), third]
+}
+
 /// Waits until a condition holds. Panics after [`LIMIT`].
 #[track_caller]
 pub fn wait_until(what: &str, mut condition: impl FnMut() -> bool) {
@@ -150,7 +158,7 @@
             directory,
             arguments,
             limits,
-            net: [fastrand::u8(1..250), fastrand::u8(..)],
+            net: free_net(),
         };
         env.configure(1, PREFIX);
         for index in 0..env.domains.len() {
