--- a/tests/restarts.rs
+++ b/tests/restarts.rs
@@ -173,12 +173,12 @@
         let (env, body) = (&env, &body);
         scope.spawn(move || {
             for _ in 0..RESTARTS {
-                let worker = &units[random.usize(..units.len())];
+                let unit = &units[random.usize(..units.len())];
                 thread::sleep(Duration::from_millis(random.u64(..200)));
-                worker.end_process();
+                unit.end_process();
                 let down_ms = if random.bool() { 0..50 } else { 1000..1700 };
                 thread::sleep(Duration::from_millis(random.u64(down_ms)));
-                worker.start_process(env);
+                unit.start_process(env);
             }
         });
         let jobs = (0..JOBS).map(|id| {
